--- /dev/null
+++ b/internal/balancer/answer.go
@@ -0,0 +1,317 @@
+package balancer
+
+import (
+	"time"
+
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/flow"
+	"gaugeyard/internal/membership"
+)
+
+// ownAnswer handles a back end's datagram as the owner. The shard is locked.
+func (c *Core) ownAnswer(x *exchangeContext, shard *flow.Shard) {
+	source := c.registry.at(x.packet.Backend)
+	if source == nil {
+		c.drop(errkind.Malformed)
+		return
+	}
+	source.alive(x.now)
+	f := shard.Flows[x.packet.Flow]
+	if f == nil && c.config.Mechanisms.NoAnswerAdoption {
+		c.deliver(x.packet, x.effects)
+		return
+	}
+	if f == nil {
+		f = &flow.Flow{Key: x.packet.Flow, Hash: x.hash}
+		shard.Add(f)
+	}
+	c.learnPin(x, f, source)
+	if f.Backend != source.id {
+		c.Counters.LateAnswer.Add(1)
+		c.deliver(x.packet, x.effects)
+		return
+	}
+	f.LastSeen = x.now
+	f.Observing = f.Observing || x.packet.Observe
+	c.complete(x, f, source)
+	if f.Verified && c.needsReplica(x, f) {
+		c.teach(x, f)
+		return
+	}
+	c.deliver(x.packet, x.effects)
+}
+
+// learnPin adopts the sender of an answer as the flow's back end where this
+// owner cannot vouch for what it has: an answer proves where the flow is.
+func (c *Core) learnPin(x *exchangeContext, f *flow.Flow, source *backend) {
+	if f.Verified || f.Backend != 0 || f.AmbiguousUntil > x.now || c.config.Mechanisms.NoAnswerAdoption {
+		return
+	}
+	c.Counters.Adopted.Add(1)
+	c.pin(f, source)
+}
+
+// complete settles the request that the datagram answers.
+func (c *Core) complete(x *exchangeContext, f *flow.Flow, source *backend) {
+	if x.packet.Kind == Acknowledge {
+		if exchange := f.Find(x.packet.MessageID); exchange != nil {
+			exchange.Confirmable = false
+			c.confirm(x, f, exchange)
+		}
+		return
+	}
+	exchange := f.FindAnswered(x.packet.MessageID, x.packet.Token)
+	if exchange == nil {
+		return
+	}
+	c.confirm(x, f, exchange)
+	source.inFlight.Add(-1)
+	source.sample(x.now - exchange.Started)
+	f.Remove(exchange.MessageID)
+}
+
+// confirm notes that the successor holds the flow: the request that was
+// answered reached the back end through it.
+func (c *Core) confirm(x *exchangeContext, f *flow.Flow, exchange *flow.Exchange) {
+	if exchange.Replica == 0 || exchange.Replica != x.pair.Successor {
+		return
+	}
+	f.Verified = true
+	f.Replica = exchange.Replica
+	f.ReplicatedAt = x.now
+}
+
+// teach delivers an answer through the successor, which records the flow.
+func (c *Core) teach(x *exchangeContext, f *flow.Flow) {
+	relay := Relay{
+		Kind:     RelayTeach,
+		Hops:     x.hops,
+		Backend:  c.addressOf(f),
+		Refusals: refusalsOf(f, x.now),
+		Packet:   x.packet,
+	}
+	f.Replica = x.pair.Successor
+	f.ReplicatedAt = x.now
+	c.relay(x.pair.Successor, relay, x.effects)
+}
+
+// forget removes a request from the flow and from the counts.
+func (c *Core) forget(f *flow.Flow, messageID uint16) {
+	exchange := f.Find(messageID)
+	if exchange == nil {
+		return
+	}
+	if target := c.registry.get(f.Backend); target != nil && exchange.State == flow.InFlight {
+		target.inFlight.Add(-1)
+	}
+	f.Remove(messageID)
+}
+
+// giveUp settles a request whose deadline has passed: the caller is told at
+// once that its outcome is unknown.
+func (c *Core) giveUp(now time.Duration, due deadline, effects *Effects) {
+	shard := c.flows.ShardOf(due.key.Hash())
+	shard.Lock()
+	defer shard.Unlock()
+	f := shard.Flows[due.key]
+	if f == nil {
+		return
+	}
+	exchange := f.Find(due.messageID)
+	if exchange == nil || exchange.State != flow.InFlight || exchange.Until > now {
+		return
+	}
+	exchange.State = flow.GivenUp
+	lifetime := time.Duration(0)
+	if service := c.snapshot.ServiceAt(due.key.Service); service != nil {
+		lifetime = service.RequestLifetime
+	}
+	exchange.Until = now + lifetime
+	if target := c.registry.get(f.Backend); target != nil {
+		target.inFlight.Add(-1)
+		if target.missedDeadline(now) {
+			effects.add(Effect{Kind: StateChanged, Subject: target.address.String(), State: Quarantined.String()})
+		}
+	}
+	packet := &Packet{
+		Kind:        Request,
+		Flow:        due.key,
+		MessageID:   exchange.MessageID,
+		Token:       exchange.Token,
+		Confirmable: exchange.Confirmable,
+	}
+	c.answer(packet, errkind.DeadlineExceeded, 0, effects)
+}
+
+// handleMessage handles a message from another balancer.
+func (c *Core) handleMessage(now time.Duration, message *Message, effects *Effects) {
+	if message.Relay != nil {
+		c.control.RLock()
+		defer c.control.RUnlock()
+		c.handleRelay(now, message.From, message.Relay, effects)
+		return
+	}
+	c.control.Lock()
+	defer c.control.Unlock()
+	switch {
+	case message.Heartbeat != nil:
+		c.handleHeartbeat(now, message.From, message.Heartbeat, effects)
+	case message.SettingsRequest != nil:
+		c.sendSettings(now, message.From, message.SettingsRequest.Have, effects)
+	case message.SettingsPart != nil:
+		c.receiveSettings(now, message.SettingsPart, effects)
+	case message.Copy != nil:
+		c.receiveCopy(now, message.From, message.Copy, effects)
+	case message.CopyDone != nil:
+		c.copyDone(now, message.CopyDone.Sequence)
+	case message.Grant != nil:
+		c.receiveGrant(message.From, message.Grant)
+	}
+}
+
+// handleRelay handles a datagram that another balancer passed on.
+func (c *Core) handleRelay(now time.Duration, from membership.ID, relay *Relay, effects *Effects) {
+	packet := relay.Packet
+	service := c.snapshot.ServiceAt(packet.Flow.Service)
+	if service == nil {
+		c.drop(errkind.UnknownService)
+		return
+	}
+	hash := packet.Flow.Hash()
+	pair := c.view.PairOf(hash)
+	x := &exchangeContext{now: now, packet: packet, service: service, hash: hash, pair: pair, hops: relay.Hops, effects: effects}
+	if pair.Owner == from && pair.Successor == c.self && relay.Kind != RelayToOwner {
+		c.succeed(x, relay)
+		return
+	}
+	if pair.Owner == c.self && pair.Successor == from && relay.Kind >= RelayAdopt && relay.Kind != RelayTeach {
+		c.adopt(x, relay)
+		return
+	}
+	if relay.Kind == RelayCopy && pair.Owner == c.self {
+		c.inherit(x, relay)
+	}
+	c.route(now, packet, relay.Hops, effects)
+}
+
+// inherit keeps the pin that an earlier owner vouched for, where this owner has
+// none; the successor is still asked before it counts.
+func (c *Core) inherit(x *exchangeContext, relay *Relay) {
+	shard := c.flows.ShardOf(x.hash)
+	shard.Lock()
+	defer shard.Unlock()
+	if shard.Flows[x.packet.Flow] != nil {
+		return
+	}
+	f := c.insert(x, shard)
+	f.Complete = false
+	c.pin(f, c.registry.at(relay.Backend))
+	mergeRefusals(f, relay.Refusals, x.now)
+}
+
+// succeed handles a datagram as the successor of the owner that sent it.
+func (c *Core) succeed(x *exchangeContext, relay *Relay) {
+	shard := c.flows.ShardOf(x.hash)
+	shard.Lock()
+	defer shard.Unlock()
+	f := shard.Flows[x.packet.Flow]
+	if relay.Kind == RelayPropose && !c.agree(x, f, relay) {
+		return
+	}
+	if f == nil {
+		f = &flow.Flow{Key: x.packet.Flow, Hash: x.hash}
+		shard.Add(f)
+	}
+	target := c.registry.at(relay.Backend)
+	c.release(f)
+	f.Backend = 0
+	if target != nil {
+		f.Backend = target.id
+	}
+	f.Verified = true
+	f.LastSeen = x.now
+	mergeRefusals(f, relay.Refusals, x.now)
+	switch {
+	case relay.Kind == RelayTeach:
+		c.deliver(x.packet, x.effects)
+	case relay.Error != errkind.None:
+		c.recordRefusal(x, f, relay.Error)
+		c.answer(x.packet, relay.Error, x.service.RefusalRetry, x.effects)
+	default:
+		c.forward(x.packet, target, x.effects)
+	}
+}
+
+// agree tells whether the successor takes a proposal as it is. Otherwise it has
+// sent the owner what it holds.
+func (c *Core) agree(x *exchangeContext, f *flow.Flow, relay *Relay) bool {
+	if f != nil && f.AmbiguousUntil > x.now {
+		c.relay(x.pair.Owner, Relay{Kind: RelayAmbiguous, Hops: x.hops, Packet: x.packet}, x.effects)
+		return false
+	}
+	if f == nil {
+		if relay.HeadCovers || x.service.Repeatable || c.covers(x) {
+			return true
+		}
+		c.noteAmbiguous(x)
+		c.relay(x.pair.Owner, Relay{Kind: RelayAmbiguous, Hops: x.hops, Packet: x.packet}, x.effects)
+		return false
+	}
+	held := c.addressOf(f)
+	if (f.Backend == 0 || held == relay.Backend) && knowsAll(relay.Refusals, f) {
+		return true
+	}
+	back := Relay{Kind: RelayAdopt, Hops: x.hops, Backend: held, Refusals: refusalsOf(f, x.now), Packet: x.packet}
+	c.relay(x.pair.Owner, back, x.effects)
+	return false
+}
+
+// noteAmbiguous remembers, as the successor, that nobody can say whether the
+// flow's requests ran. The shard is locked.
+func (c *Core) noteAmbiguous(x *exchangeContext) {
+	f := &flow.Flow{Key: x.packet.Flow, Hash: x.hash, LastSeen: x.now}
+	f.AmbiguousUntil = x.now + x.service.RequestLifetime
+	c.flows.ShardOf(x.hash).Add(f)
+}
+
+// knowsAll tells whether the list names every refusal of the flow.
+func knowsAll(list []Refusal, f *flow.Flow) bool {
+	for _, refusal := range f.Refusals() {
+		known := false
+		for _, entry := range list {
+			known = known || entry.MessageID == refusal.MessageID
+		}
+		if !known {
+			return false
+		}
+	}
+	return true
+}
+
+// adopt takes over what the successor holds of a flow and goes on with the datagram.
+func (c *Core) adopt(x *exchangeContext, relay *Relay) {
+	shard := c.flows.ShardOf(x.hash)
+	shard.Lock()
+	defer shard.Unlock()
+	f := shard.Flows[x.packet.Flow]
+	if f == nil {
+		f = c.insert(x, shard)
+	}
+	if relay.Kind == RelayAmbiguous {
+		c.markAmbiguous(x, f)
+		return
+	}
+	// What was noted for this request was only a proposal.
+	c.forget(f, x.packet.MessageID)
+	if target := c.registry.at(relay.Backend); target != nil {
+		c.pin(f, target)
+	}
+	f.Complete = false
+	f.Verified = true
+	f.Replica = x.pair.Successor
+	f.ReplicatedAt = x.now
+	f.LastSeen = x.now
+	mergeRefusals(f, relay.Refusals, x.now)
+	c.Counters.Adopted.Add(1)
+	c.ownRequest(x, f)
+}
--- /dev/null
+++ b/internal/balancer/config.go
@@ -0,0 +1,152 @@
+package balancer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"gaugeyard/internal/membership"
+	"gaugeyard/internal/settings"
+)
+
+const (
+	// historyLength is how many earlier revisions a node keeps to send changes from.
+	historyLength = 16
+	// partChanges is how many changes one datagram of settings carries.
+	partChanges = 12
+)
+
+// assembly collects the parts of a revision on its way from a peer.
+type assembly struct {
+	base, revision uint64
+	parts          [][]settings.Change
+	missing        int
+}
+
+// applySettings puts a revision into force unless one at least as high is.
+func (c *Core) applySettings(now time.Duration, next *settings.Snapshot, effects *Effects) {
+	if next.Revision <= c.snapshot.Revision && !c.config.Mechanisms.NoRevisionFence {
+		if next.Revision < c.snapshot.Revision {
+			if c.Counters.StaleRevisions.Add(1) == 1 {
+				effects.add(Effect{Kind: StateChanged, Subject: "settings", State: "the store is behind the revision in force"})
+			}
+		}
+		return
+	}
+	if next.Revision == c.snapshot.Revision {
+		return
+	}
+	first := len(c.snapshot.Services) == 0
+	for _, service := range next.Services {
+		for _, backend := range service.Backends {
+			c.noteBackend(now, backend, first)
+		}
+	}
+	c.history = append(c.history, c.snapshot)
+	if len(c.history) > historyLength {
+		c.history = slices.Delete(c.history, 0, 1)
+	}
+	c.snapshot = next
+	effects.add(Effect{Kind: StateChanged, Subject: "settings", State: "revision in force"})
+}
+
+// noteBackend starts the slow start of a back end that is new or was draining.
+func (c *Core) noteBackend(now time.Duration, backend *settings.Backend, first bool) {
+	old := c.snapshot.Backends[backend.ID]
+	if first || backend.Draining || old != nil && !old.Draining {
+		return
+	}
+	c.ramps[backend.ID] = now
+}
+
+// sendSettings sends a peer the changes since the revision it has, in parts.
+// A peer that misses a part asks again.
+func (c *Core) sendSettings(now time.Duration, to membership.ID, have uint64, effects *Effects) {
+	member, live := c.view.Member(to)
+	if !live || have >= c.snapshot.Revision {
+		return
+	}
+	base := settings.Tree{"": settings.Values{}}
+	from := uint64(0)
+	for _, earlier := range c.history {
+		if earlier.Revision == have {
+			base, from = earlier.Tree, have
+		}
+	}
+	changes := settings.Diff(base, c.snapshot.Tree)
+	count := max(1, (len(changes)+partChanges-1)/partChanges)
+	for index := range count {
+		part := &SettingsPart{
+			Base:     from,
+			Revision: c.snapshot.Revision,
+			Index:    index,
+			Count:    count,
+			Changes:  changes[index*partChanges : min(len(changes), (index+1)*partChanges)],
+		}
+		c.settingsQueue = append(c.settingsQueue, queuedPart{member.Address, part})
+	}
+	c.drainSettings(now, effects)
+}
+
+// queuedPart is one part of a revision that waits for the byte budget.
+type queuedPart struct {
+	to   netip.AddrPort
+	part *SettingsPart
+}
+
+// drainSettings sends queued parts as far as the byte budget allows.
+func (c *Core) drainSettings(now time.Duration, effects *Effects) {
+	for len(c.settingsQueue) > 0 {
+		next := c.settingsQueue[0]
+		current := next.part.Revision == c.snapshot.Revision
+		message := &Message{From: c.self, SettingsPart: next.part}
+		if current && !c.sendControl(now, next.to, message, bulk, effects) {
+			return
+		}
+		c.settingsQueue = c.settingsQueue[1:]
+	}
+}
+
+// receiveSettings takes one part and applies the revision once it is whole.
+func (c *Core) receiveSettings(now time.Duration, part *SettingsPart, effects *Effects) {
+	if part.Revision <= c.snapshot.Revision || part.Count < 1 || part.Index < 0 || part.Index >= part.Count || part.Count > maxParts {
+		return
+	}
+	a := &c.assembly
+	if a.revision != part.Revision || a.base != part.Base || len(a.parts) != part.Count {
+		*a = assembly{base: part.Base, revision: part.Revision, parts: make([][]settings.Change, part.Count), missing: part.Count}
+	}
+	if a.parts[part.Index] == nil {
+		a.parts[part.Index] = slices.Clip(append([]settings.Change{}, part.Changes...))
+		a.missing--
+	}
+	// A part arrived: what is still under way need not be asked for again.
+	c.lastRequest = now
+	if a.missing > 0 {
+		return
+	}
+	tree, faults := c.assembled()
+	c.assembly = assembly{}
+	if len(faults) > 0 {
+		effects.add(Effect{Kind: StateChanged, Subject: "settings", State: "refused a revision from a peer: " + faults[0].Error()})
+		return
+	}
+	c.applySettings(now, settings.Resolve(tree, part.Revision), effects)
+}
+
+// maxParts bounds the parts of one revision.
+const maxParts = 4096
+
+// assembled applies the collected changes to their base.
+func (c *Core) assembled() (settings.Tree, []error) {
+	tree := settings.Tree{"": settings.Values{}}
+	if c.assembly.base != 0 {
+		tree = c.snapshot.Tree.Clone()
+	}
+	for _, part := range c.assembly.parts {
+		if err := tree.Apply(part); err != nil {
+			return nil, []error{err}
+		}
+	}
+	return tree, tree.Validate()
+}
--- /dev/null
+++ b/internal/balancer/core.go
@@ -0,0 +1,263 @@
+package balancer
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/flow"
+	"gaugeyard/internal/membership"
+	"gaugeyard/internal/placement"
+	"gaugeyard/internal/settings"
+)
+
+// Core is one balancer's state and decisions.
+type Core struct {
+	config Config
+	self   membership.ID
+
+	// control guards membership and settings. Workers hold it for reading.
+	control    sync.RWMutex
+	detector   *membership.Detector
+	view       *membership.View
+	continuity *membership.Continuity
+	quorum     bool
+	snapshot   *settings.Snapshot
+	history    []*settings.Snapshot
+	assembly   assembly
+	// settingsQueue holds parts of settings that wait for the byte budget.
+	settingsQueue []queuedPart
+	ramps         map[settings.BackendID]time.Duration
+	leave         leaveState
+
+	flows     *flow.Table
+	registry  registry
+	deadlines deadlineQueue
+	copier    copier
+	budget    byteBudget
+
+	lastTick      atomic.Int64
+	lastHeartbeat time.Duration
+	lastRequest   time.Duration
+	// joinAt is when this node has listened long enough to join the view.
+	joinAt time.Duration
+	// ticked is set once the first tick has passed.
+	ticked bool
+
+	// Counters count what happened; see Counters.
+	Counters Counters
+}
+
+// Counters are the numbers that a balancer exposes. All only grow.
+type Counters struct {
+	Datagrams, Forwarded, Delivered, Relayed, Detoured     atomic.Uint64
+	NewFlows, Deviating, Adopted, ExpiredFlows, LateAnswer atomic.Uint64
+	ControlBytes, ControlDeferred, StaleRevisions          atomic.Uint64
+	Dropped                                                [32]atomic.Uint64
+	Answered                                               [32]atomic.Uint64
+}
+
+// New returns a core that knows no settings and no peers.
+func New(config Config) *Core {
+	if config.ControlBytesPerSecond == 0 {
+		config.ControlBytesPerSecond = DefaultControlBytesPerSecond
+	}
+	core := &Core{
+		config:     config,
+		self:       config.Self.ID,
+		detector:   membership.NewDetector(config.Self),
+		continuity: membership.NewContinuity(config.Self.ID, config.BootstrapUntil),
+		snapshot:   settings.Resolve(settings.Tree{"": settings.Values{}}, 0),
+		ramps:      map[settings.BackendID]time.Duration{},
+		flows:      flow.NewTable(),
+	}
+	core.view = membership.NewView(nil, false)
+	core.budget.perSecond = config.ControlBytesPerSecond
+	core.budget.unlimited = config.Mechanisms.NoControlBudget
+	return core
+}
+
+// Effects collects what Step decided. A worker reuses one; Reset empties it.
+type Effects struct {
+	List       []Effect
+	candidates []placement.Candidate
+	backends   []*backend
+}
+
+// Reset empties the collection and keeps its memory.
+func (e *Effects) Reset() {
+	clear(e.List)
+	e.List = e.List[:0]
+}
+
+func (e *Effects) add(effect Effect) {
+	e.List = append(e.List, effect)
+}
+
+// Step handles one event at now, a time that never goes back, and appends what
+// must be done to effects. Packets and messages in effects are valid until the
+// driver reuses the event's memory.
+func (c *Core) Step(now time.Duration, event Event, effects *Effects) {
+	c.notePause(now, effects)
+	switch e := event.(type) {
+	case *Datagram:
+		c.control.RLock()
+		c.handleDatagram(now, e.Packet, effects)
+		c.control.RUnlock()
+	case *PeerMessage:
+		c.handleMessage(now, e.Message, effects)
+	case *SettingsRevision:
+		c.control.Lock()
+		c.applySettings(now, e.Snapshot, effects)
+		c.control.Unlock()
+	case *MachineList:
+		c.control.Lock()
+		c.detector.Listed(e.Addresses)
+		c.control.Unlock()
+	case *LoadReport:
+		c.registry.report(e.Backend, e.Utilization)
+	case *Tick:
+		c.tick(now, effects)
+	case *Leave:
+		c.control.Lock()
+		c.startLeave(now, effects)
+		c.control.Unlock()
+	}
+}
+
+func (c *Core) handleDatagram(now time.Duration, packet *Packet, effects *Effects) {
+	c.Counters.Datagrams.Add(1)
+	c.leave.traffic(now)
+	c.route(now, packet, 0, effects)
+}
+
+// route hands a datagram to its owner, which may be this node.
+func (c *Core) route(now time.Duration, packet *Packet, hops uint8, effects *Effects) {
+	service := c.snapshot.ServiceAt(packet.Flow.Service)
+	if service == nil {
+		c.drop(errkind.UnknownService)
+		return
+	}
+	if c.config.Strategy >= Consistent {
+		c.routeStateless(packet, service, effects)
+		return
+	}
+	hash := packet.Flow.Hash()
+	pair := c.view.PairOf(hash)
+	if pair.Owner == c.self {
+		c.own(now, packet, service, hash, pair, hops, effects)
+		return
+	}
+	answer := packet.Kind >= Answer
+	if answer && (pair.Owner == 0 || c.detector.Overdue(pair.Owner, now)) {
+		// The owner may be dead: an answer needs no state to reach its caller.
+		c.deliver(packet, effects)
+		return
+	}
+	c.relay(pair.Owner, Relay{Kind: RelayToOwner, Hops: hops, Packet: packet}, effects)
+}
+
+// own handles a datagram as the flow's owner.
+func (c *Core) own(now time.Duration, packet *Packet, service *settings.Service, hash uint64, pair membership.Pair, hops uint8, effects *Effects) {
+	context := exchangeContext{now: now, packet: packet, service: service, hash: hash, pair: pair, hops: hops, effects: effects}
+	shard := c.flows.ShardOf(hash)
+	shard.Lock()
+	defer shard.Unlock()
+	if packet.Kind >= Answer {
+		c.ownAnswer(&context, shard)
+		return
+	}
+	c.ownCaller(&context, shard)
+}
+
+// exchangeContext is what the handling of one datagram needs throughout.
+type exchangeContext struct {
+	now     time.Duration
+	packet  *Packet
+	service *settings.Service
+	hash    uint64
+	pair    membership.Pair
+	hops    uint8
+	effects *Effects
+}
+
+// routeStateless is the baseline without flow state.
+func (c *Core) routeStateless(packet *Packet, service *settings.Service, effects *Effects) {
+	if packet.Kind >= Answer {
+		c.deliver(packet, effects)
+		return
+	}
+	candidates, backends := c.candidates(0, service, effects)
+	index := placement.Default(packet.Flow.Hash(), candidates)
+	if c.config.Strategy == Modulo {
+		index = moduloIndex(packet.Flow.Hash(), candidates)
+	}
+	if index < 0 {
+		c.answer(packet, errkind.NoBackend, service.RefusalRetry, effects)
+		return
+	}
+	c.forward(packet, backends[index], effects)
+}
+
+func moduloIndex(hash uint64, candidates []placement.Candidate) int {
+	open := 0
+	for i := range candidates {
+		if !candidates[i].Closed {
+			open++
+		}
+	}
+	if open == 0 {
+		return -1
+	}
+	chosen := int(hash % uint64(open))
+	for i := range candidates {
+		if candidates[i].Closed {
+			continue
+		}
+		if chosen == 0 {
+			return i
+		}
+		chosen--
+	}
+	return -1
+}
+
+func (c *Core) forward(packet *Packet, target *backend, effects *Effects) {
+	c.Counters.Forwarded.Add(1)
+	effects.add(Effect{Kind: ForwardToBackend, To: target.address, Packet: packet})
+}
+
+func (c *Core) deliver(packet *Packet, effects *Effects) {
+	c.Counters.Delivered.Add(1)
+	effects.add(Effect{Kind: DeliverToCaller, To: packet.Flow.Caller, Packet: packet})
+}
+
+// answer tells the caller how its request failed.
+func (c *Core) answer(packet *Packet, kind errkind.Kind, retry time.Duration, effects *Effects) {
+	c.Counters.Answered[kind].Add(1)
+	if packet.Kind != Request {
+		return
+	}
+	effects.add(Effect{Kind: AnswerCaller, To: packet.Flow.Caller, Packet: packet, Error: kind, RetryAfter: retry})
+}
+
+func (c *Core) drop(kind errkind.Kind) {
+	c.Counters.Dropped[kind].Add(1)
+}
+
+// relay sends a datagram to another balancer, unless it has travelled too far.
+func (c *Core) relay(to membership.ID, relay Relay, effects *Effects) {
+	member, live := c.view.Member(to)
+	if !live || relay.Hops >= HopLimit {
+		c.drop(errkind.NoOwner)
+		return
+	}
+	relay.Hops++
+	relay.Data = relay.Packet.Data
+	c.Counters.Relayed.Add(1)
+	if relay.Kind != RelayToOwner {
+		c.Counters.Detoured.Add(1)
+	}
+	effects.add(Effect{Kind: SendPeer, To: member.Address, Message: &Message{From: c.self, Relay: &relay}})
+}
--- /dev/null
+++ b/internal/balancer/registry.go
@@ -0,0 +1,230 @@
+package balancer
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gaugeyard/internal/placement"
+	"gaugeyard/internal/settings"
+)
+
+// Health is what this node makes of a back end from its own observations.
+type Health int32
+
+// The states of a back end.
+const (
+	// Active back ends take new flows.
+	Active Health = iota
+	// Quarantined back ends missed several deadlines in a row and take no new
+	// flow until a probation time has passed.
+	Quarantined
+)
+
+// String returns the state's name.
+func (h Health) String() string {
+	return [...]string{"active", "quarantined"}[h]
+}
+
+const (
+	// quarantineAfter is how many deadlines in a row a back end may miss.
+	quarantineAfter = 3
+	// quarantineTime is how long a back end stays without new flows.
+	quarantineTime = 5 * time.Second
+	// latencyShare is the weight of a new sample in the smoothed service time.
+	latencyShare = 0.1
+	// reportBias is the largest cut of a back end's share for a load report,
+	// small because reports lag and lie.
+	reportBias = 0.1
+	// deadAfter is the silence after which a back end that missed twice the
+	// deadlines of a quarantine counts as dead.
+	deadAfter = 5 * time.Second
+	// retryReserve is how many retransmissions are allowed before the budget counts.
+	retryReserve = 10
+)
+
+// backend is what this node knows of one back end. Its counters are atomic.
+type backend struct {
+	id       settings.BackendID
+	address  netip.AddrPort
+	inFlight atomic.Int64
+	missed   atomic.Int32
+	health   atomic.Int32
+	// heard is when the last answer came.
+	heard atomic.Int64
+	// until is when a quarantine ends.
+	until atomic.Int64
+	// serviceTime is the smoothed time from forward to answer, in nanoseconds.
+	serviceTime atomic.Int64
+	// utilization is the last load report times 1000.
+	utilization atomic.Int64
+	// requests and retries of the current window of the retry budget.
+	requests, retries atomic.Int64
+	// flows counts own flows by service.
+	flows sync.Map
+}
+
+// flowCount returns the counter of own flows of one service.
+func (b *backend) flowCount(service netip.AddrPort) *atomic.Int64 {
+	if counter, known := b.flows.Load(service); known {
+		return counter.(*atomic.Int64)
+	}
+	counter, _ := b.flows.LoadOrStore(service, new(atomic.Int64))
+	return counter.(*atomic.Int64)
+}
+
+// alive records that a datagram came from the back end.
+func (b *backend) alive(now time.Duration) {
+	b.heard.Store(int64(now))
+	b.missed.Store(0)
+	b.health.Store(int32(Active))
+}
+
+// dead tells whether the back end has been silent for so long, with requests
+// unanswered, that its flows may be placed anew.
+func (b *backend) dead(now time.Duration) bool {
+	return b.missed.Load() >= 2*quarantineAfter && now-time.Duration(b.heard.Load()) > deadAfter
+}
+
+// sample adds one time from forward to answer to the smoothed service time.
+func (b *backend) sample(elapsed time.Duration) {
+	old := b.serviceTime.Load()
+	if old == 0 {
+		b.serviceTime.Store(int64(elapsed))
+		return
+	}
+	b.serviceTime.Store(old + int64(latencyShare*float64(int64(elapsed)-old)))
+}
+
+// missedDeadline records an unanswered request and tells whether the back end
+// has just been quarantined.
+func (b *backend) missedDeadline(now time.Duration) bool {
+	if b.missed.Add(1) < quarantineAfter {
+		return false
+	}
+	b.until.Store(int64(now + quarantineTime))
+	return b.health.Swap(int32(Quarantined)) != int32(Quarantined)
+}
+
+func (b *backend) quarantined(now time.Duration) bool {
+	return Health(b.health.Load()) == Quarantined && int64(now) < b.until.Load()
+}
+
+// mayRetry spends one retransmission of the back end's retry budget.
+func (b *backend) mayRetry(budget float64) bool {
+	allowed := retryReserve + budget*float64(b.requests.Load())
+	if float64(b.retries.Load()) >= allowed {
+		return false
+	}
+	b.retries.Add(1)
+	return true
+}
+
+// registry holds every back end that settings, flows or answers have named,
+// also those that left the settings while flows still use them.
+type registry struct {
+	sync.RWMutex
+	byID map[settings.BackendID]*backend
+}
+
+// get returns the back end with the identifier, or nil.
+func (r *registry) get(id settings.BackendID) *backend {
+	r.RLock()
+	defer r.RUnlock()
+	return r.byID[id]
+}
+
+// at returns the back end at the address, adding it when it is new.
+func (r *registry) at(address netip.AddrPort) *backend {
+	if !address.IsValid() {
+		return nil
+	}
+	id := settings.BackendIDOf(address)
+	if known := r.get(id); known != nil {
+		return known
+	}
+	r.Lock()
+	defer r.Unlock()
+	if r.byID == nil {
+		r.byID = map[settings.BackendID]*backend{}
+	}
+	if r.byID[id] == nil {
+		r.byID[id] = &backend{id: id, address: address}
+	}
+	return r.byID[id]
+}
+
+func (r *registry) report(address netip.AddrPort, utilization float64) {
+	if known := r.get(settings.BackendIDOf(address)); known != nil {
+		known.utilization.Store(int64(utilization * 1000))
+	}
+}
+
+// decayRetries halves the windows of all retry budgets.
+func (r *registry) decayRetries() {
+	r.RLock()
+	defer r.RUnlock()
+	for _, b := range r.byID {
+		b.requests.Store(b.requests.Load() / 2)
+		b.retries.Store(b.retries.Load() / 2)
+	}
+}
+
+// candidates lists the service's back ends as placement sees them. The slices
+// belong to effects and are overwritten by the next call.
+func (c *Core) candidates(now time.Duration, service *settings.Service, effects *Effects) ([]placement.Candidate, []*backend) {
+	effects.candidates = effects.candidates[:0]
+	effects.backends = effects.backends[:0]
+	nodes := max(len(c.view.Members), 1)
+	for _, configured := range service.Backends {
+		known := c.registry.at(configured.Address)
+		candidate := placement.Candidate{
+			ID:            configured.ID,
+			Weight:        configured.Weight,
+			Ramp:          c.ramp(now, configured, known),
+			Flows:         int(known.flowCount(service.Address).Load()),
+			InFlight:      int(known.inFlight.Load()),
+			FlowLimit:     shareOf(configured.Connections, nodes),
+			InFlightLimit: inFlightLimit(configured, nodes),
+			Closed:        configured.Draining && !c.config.Mechanisms.NoDrain || known.quarantined(now),
+		}
+		c.adjustForExperiment(&candidate, known)
+		effects.candidates = append(effects.candidates, candidate)
+		effects.backends = append(effects.backends, known)
+	}
+	return effects.candidates, effects.backends
+}
+
+func (c *Core) adjustForExperiment(candidate *placement.Candidate, known *backend) {
+	if c.config.Mechanisms.NoAdmission {
+		candidate.FlowLimit, candidate.InFlightLimit = 1<<30, 1<<30
+	}
+	if c.config.Mechanisms.NoOwnCounts {
+		// Trusts the report alone, as a balancer without own counts would.
+		candidate.Flows = 0
+		candidate.InFlight = int(known.utilization.Load())
+	}
+}
+
+// shareOf is this node's part of a limit that all nodes share.
+func shareOf(limit, nodes int) int {
+	return (limit + nodes - 1) / nodes
+}
+
+func inFlightLimit(configured *settings.Backend, nodes int) int {
+	return shareOf(int(float64(configured.Slots)*configured.QueueFactor), nodes)
+}
+
+// minimumRamp is the share that a cold back end starts with.
+const minimumRamp = 0.1
+
+// ramp returns the part of its share that a back end fills now.
+func (c *Core) ramp(now time.Duration, configured *settings.Backend, known *backend) float64 {
+	ramp := 1.0
+	if since, cold := c.ramps[configured.ID]; cold && configured.SlowStart > 0 && !c.config.Mechanisms.NoSlowStart {
+		ramp = min(1, max(minimumRamp, float64(now-since)/float64(configured.SlowStart)))
+	}
+	overload := float64(known.utilization.Load())/1000 - 1
+	return ramp * (1 - reportBias*min(1, max(0, overload/configured.QueueFactor)))
+}
--- /dev/null
+++ b/internal/balancer/tick.go
@@ -0,0 +1,301 @@
+package balancer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"gaugeyard/internal/flow"
+	"gaugeyard/internal/membership"
+)
+
+const (
+	// retryDecayInterval is the window of the retry budget.
+	retryDecayInterval = time.Second
+	// settingsRequestInterval bounds how often a peer is asked for settings.
+	settingsRequestInterval = 500 * time.Millisecond
+	// walkShards is how many shards of the flow table one tick looks through,
+	// so that a full walk takes ShardCount/walkShards ticks.
+	walkShards = 2
+	// leavingWalkShards is the same while this node leaves.
+	leavingWalkShards = 16
+	// copiedBeforeRest is how many walks a leaving node makes at least.
+	copiedBeforeRest = 2
+)
+
+// tick does what time alone causes.
+func (c *Core) tick(now time.Duration, effects *Effects) {
+	c.control.Lock()
+	c.startListening(now)
+	c.lastTick.Store(int64(now))
+	c.detector.Forget(now)
+	c.join(now, effects)
+	c.refreshView(now, effects)
+	if now-c.lastHeartbeat >= membership.HeartbeatInterval {
+		c.lastHeartbeat = now
+		c.sendHeartbeats(now, effects)
+	}
+	c.drainSettings(now, effects)
+	c.advanceLeave(now, effects)
+	c.control.Unlock()
+
+	c.control.RLock()
+	defer c.control.RUnlock()
+	c.deadlines.take(now, func(due deadline) { c.giveUp(now, due, effects) })
+	if now/retryDecayInterval != (now-TickInterval)/retryDecayInterval {
+		c.registry.decayRetries()
+	}
+	c.walk(now, effects)
+	c.sendCopy(now, effects)
+}
+
+// startListening sets, at the first tick, when this node may join.
+func (c *Core) startListening(now time.Duration) {
+	if c.ticked {
+		return
+	}
+	c.ticked = true
+	c.joinAt = now + membership.DeadAfter
+	c.lastHeartbeat = now - membership.HeartbeatInterval
+}
+
+// join puts this node into the view once it has listened for its peers and has
+// settings. Until then peers do not count it, and it passes datagrams on.
+func (c *Core) join(now time.Duration, effects *Effects) {
+	if c.detector.Joined() || c.leave.announced || now < c.joinAt || c.snapshot.Revision == 0 {
+		return
+	}
+	c.detector.Join()
+	effects.add(Effect{Kind: StateChanged, Subject: "self", State: "joined"})
+	c.sendHeartbeats(now, effects)
+}
+
+// notePause notices that this node stood still for so long that its peers have
+// gone on without it. Nothing that it holds may be vouched for then, and it
+// joins anew. It runs before every event, because queued datagrams may be
+// handled before the first tick.
+func (c *Core) notePause(now time.Duration, effects *Effects) {
+	if now-time.Duration(c.lastTick.Load()) <= membership.DeadAfter || c.config.Mechanisms.NoContinuity {
+		return
+	}
+	c.control.Lock()
+	defer c.control.Unlock()
+	last := time.Duration(c.lastTick.Load())
+	if !c.ticked || now-last <= membership.DeadAfter {
+		return
+	}
+	c.lastTick.Store(int64(now))
+	c.detector.Resume(last, now)
+	c.detector.Withdraw()
+	c.joinAt = now + membership.DeadAfter
+	c.continuity.Break(now, c.view)
+	c.distrust()
+	effects.add(Effect{Kind: StateChanged, Subject: "self", State: "resumed after a pause"})
+	c.refreshView(now, effects)
+}
+
+// distrust marks every flow as not vouched for.
+func (c *Core) distrust() {
+	for i := range c.flows.Shards {
+		shard := &c.flows.Shards[i]
+		shard.Lock()
+		shard.Walk(func(f *flow.Flow) bool {
+			f.Verified = false
+			f.Complete = false
+			return true
+		})
+		shard.Unlock()
+	}
+}
+
+// refreshView computes the live members and, when they changed, the new pairs.
+func (c *Core) refreshView(now time.Duration, effects *Effects) {
+	quorum := c.detector.Quorum(now)
+	if quorum != c.quorum {
+		c.quorum = quorum
+		state := "hears a majority"
+		if !quorum {
+			state = "hears no majority"
+		}
+		effects.add(Effect{Kind: StateChanged, Subject: "membership", State: state})
+		if quorum && !c.config.Mechanisms.NoContinuity {
+			c.continuity.Break(now, c.view)
+			c.distrust()
+		}
+	}
+	live := c.detector.Live(now)
+	if slices.Equal(live, c.view.Members) {
+		return
+	}
+	for _, old := range c.view.Members {
+		if !slices.Contains(live, old) {
+			effects.add(Effect{Kind: StateChanged, Subject: old.Address.String(), State: "left the view"})
+		}
+	}
+	for _, member := range live {
+		if !slices.Contains(c.view.Members, member) {
+			effects.add(Effect{Kind: StateChanged, Subject: member.Address.String(), State: "joined the view"})
+		}
+	}
+	previous := c.view
+	c.view = membership.NewView(live, !c.config.Mechanisms.NoZoneAwareSuccessor)
+	c.continuity.Change(now, c.view)
+	c.copier.viewChanged(previous, c.view)
+	c.recount()
+}
+
+// recount brings flow ownership in line with a new view.
+func (c *Core) recount() {
+	for i := range c.flows.Shards {
+		shard := &c.flows.Shards[i]
+		shard.Lock()
+		shard.Walk(func(f *flow.Flow) bool {
+			c.recountFlow(f)
+			return true
+		})
+		shard.Unlock()
+	}
+}
+
+func (c *Core) recountFlow(f *flow.Flow) {
+	pair := c.view.PairOf(f.Hash)
+	if pair.Owner != c.self {
+		c.release(f)
+		f.Complete = false
+	}
+	if !pair.Has(c.self) {
+		// Others may change the flow from here on.
+		f.Verified = false
+	}
+	if pair.Owner == c.self && !f.Owner && f.Backend != 0 {
+		f.Complete = false
+		if target := c.registry.get(f.Backend); target != nil {
+			c.pin(f, target)
+		}
+	}
+}
+
+func (c *Core) sendHeartbeats(now time.Duration, effects *Effects) {
+	heartbeat := &Heartbeat{
+		Address:  c.config.Self.Address,
+		Zone:     c.config.Self.Zone,
+		Revision: c.snapshot.Revision,
+		Leaving:  !c.detector.Joined(),
+	}
+	for _, address := range c.detector.Addresses() {
+		c.sendControl(now, address, &Message{From: c.self, Heartbeat: heartbeat}, essential, effects)
+	}
+}
+
+func (c *Core) handleHeartbeat(now time.Duration, from membership.ID, heartbeat *Heartbeat, effects *Effects) {
+	member := membership.Member{ID: from, Zone: heartbeat.Zone, Address: heartbeat.Address}
+	c.detector.Heard(now, member, heartbeat.Leaving)
+	c.refreshView(now, effects)
+	behind := heartbeat.Revision > c.snapshot.Revision && !c.config.Mechanisms.NoSettingsGossip
+	if behind && now-c.lastRequest >= settingsRequestInterval {
+		c.lastRequest = now
+		request := &SettingsRequest{Have: c.snapshot.Revision}
+		c.sendControl(now, heartbeat.Address, &Message{From: c.self, SettingsRequest: request}, essential, effects)
+	}
+}
+
+// walk looks through a part of the flow table: forgets what is over and
+// collects flows that the successor lacks.
+func (c *Core) walk(now time.Duration, effects *Effects) {
+	shards := walkShards
+	if c.leave.started {
+		shards = leavingWalkShards
+	}
+	for range shards {
+		shard := &c.flows.Shards[c.copier.cursor]
+		shard.Lock()
+		shard.Walk(func(f *flow.Flow) bool { return c.visit(now, f) })
+		shard.Unlock()
+		c.copier.cursor = (c.copier.cursor + 1) % flow.ShardCount
+		if c.copier.cursor == 0 {
+			c.finishWalk(now, effects)
+		}
+	}
+}
+
+// visit looks at one flow and tells whether to keep it.
+func (c *Core) visit(now time.Duration, f *flow.Flow) bool {
+	f.Expire(now)
+	service := c.snapshot.ServiceAt(f.Key.Service)
+	idle := now - f.LastSeen
+	if service == nil || idle > max(service.FlowIdle, service.RequestLifetime) && len(f.Exchanges) == 0 && f.AmbiguousUntil <= now {
+		c.release(f)
+		c.Counters.ExpiredFlows.Add(1)
+		return false
+	}
+	pair := c.view.PairOf(f.Hash)
+	if pair.Owner != c.self || pair.Successor == 0 || c.config.Strategy != Replicated {
+		return true
+	}
+	if f.Verified && f.Replica != pair.Successor {
+		c.copier.want(pair.Successor, f)
+	}
+	return true
+}
+
+// budgetClass says which control messages go first.
+type budgetClass int
+
+const (
+	// essential messages may use the whole budget.
+	essential budgetClass = iota
+	// bulk messages leave a reserve for essential ones.
+	bulk
+)
+
+// byteBudget bounds the control bytes of any window of one second: it never
+// sends more than perSecond in the last ten tenths.
+type byteBudget struct {
+	perSecond int
+	unlimited bool
+	slots     [11]int
+	slot      time.Duration
+}
+
+const (
+	budgetSlot    = 100 * time.Millisecond
+	bulkPart      = 0.6
+	essentialPart = 1.0
+)
+
+// spend takes size bytes at now, or returns false.
+func (b *byteBudget) spend(now time.Duration, size int, class budgetClass) bool {
+	current := now / budgetSlot
+	for ; b.slot < current; b.slot++ {
+		if current-b.slot > time.Duration(len(b.slots)) {
+			b.slot = current - time.Duration(len(b.slots))
+		}
+		b.slots[(b.slot+1)%time.Duration(len(b.slots))] = 0
+	}
+	used := 0
+	for _, bytes := range b.slots {
+		used += bytes
+	}
+	part := essentialPart
+	if class == bulk {
+		part = bulkPart
+	}
+	if !b.unlimited && float64(used+size) > part*float64(b.perSecond) {
+		return false
+	}
+	b.slots[current%time.Duration(len(b.slots))] += size
+	return true
+}
+
+// sendControl sends a control message within the byte budget and tells whether
+// it was sent.
+func (c *Core) sendControl(now time.Duration, to netip.AddrPort, message *Message, class budgetClass, effects *Effects) bool {
+	size := c.config.Measure(message) + datagramOverhead
+	if !c.budget.spend(now, size, class) {
+		c.Counters.ControlDeferred.Add(1)
+		return false
+	}
+	c.Counters.ControlBytes.Add(uint64(size))
+	effects.add(Effect{Kind: SendPeer, To: to, Message: message})
+	return true
+}
--- /dev/null
+++ b/internal/datapath/admin.go
@@ -0,0 +1,94 @@
+package datapath
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gaugeyard/internal/balancer"
+	"gaugeyard/internal/platform"
+	"gaugeyard/internal/settings"
+)
+
+// maxPush bounds the size of a tree that an operator's command hands in, in bytes.
+const maxPush = 16 << 20
+
+// Push is a tree that the store has accepted, as the operators' command hands
+// it to a balancer, so that it comes into force even if the store fails next.
+type Push struct {
+	Head platform.Head `json:"head"`
+	Tree settings.Tree `json:"tree"`
+}
+
+// adminHandler serves /healthz, /status, /metrics and /settings.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", n.handleHealth)
+	mux.HandleFunc("GET /status", n.handleStatus)
+	mux.HandleFunc("GET /settings", n.handleSettings)
+	mux.HandleFunc("POST /settings", n.handlePush)
+	set := n.metricSet()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
+	return mux
+}
+
+// handleHealth answers 200 while the fabric should send datagrams here.
+func (n *Node) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	if !n.core.Ready() {
+		http.Error(w, "not serving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "serving\n")
+}
+
+func (n *Node) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, n.core.Status(n.now()))
+}
+
+// handleSettings returns the tree in force, also while the store is down.
+func (n *Node) handleSettings(w http.ResponseWriter, _ *http.Request) {
+	snapshot := n.core.Snapshot()
+	writeJSON(w, Push{Head: platform.Head{Revision: snapshot.Revision}, Tree: snapshot.Tree})
+}
+
+func (n *Node) handlePush(w http.ResponseWriter, r *http.Request) {
+	var push Push
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPush)).Decode(&push); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := n.apply(push.Head.Revision, push.Tree); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, platform.Head{Revision: n.core.Snapshot().Revision})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// apply validates a tree and hands it to the core.
+func (n *Node) apply(revision uint64, tree settings.Tree) error {
+	checked, err := settings.Checked(tree)
+	if err != nil {
+		return err
+	}
+	n.step(&balancer.SettingsRevision{Snapshot: settings.Resolve(checked, revision)}, &balancer.Effects{})
+	return nil
+}
+
+// metricSet exposes the core's counters and gauges.
+func (n *Node) metricSet() *metrics.Set {
+	set := metrics.NewSet()
+	for _, counter := range n.core.Counters.List() {
+		set.NewGauge(counter.Name, func() float64 { return float64(counter.Load()) })
+	}
+	set.NewGauge("gaugeyard_flows", func() float64 { return float64(n.core.FlowCount()) })
+	set.NewGauge("gaugeyard_settings_revision", func() float64 { return float64(n.core.Snapshot().Revision) })
+	set.NewGauge("gaugeyard_members", func() float64 { return float64(len(n.core.Status(n.now()).Members)) })
+	return set
+}
--- /dev/null
+++ b/internal/datapath/config.go
@@ -0,0 +1,194 @@
+// Package datapath is the balancer process: sockets, worker pool, clients of
+// the platform and the operators' HTTP port, around the core of package balancer.
+package datapath
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gopkg.in/yaml.v3"
+)
+
+// Config is what a balancer process is started with.
+type Config struct {
+	Zone string
+	// Data receives datagrams from the fabric; Peer those of other balancers.
+	Data, Peer netip.AddrPort
+	// Admin is the HTTP port for operators; it must be on loopback.
+	Admin netip.AddrPort
+	// Deliver is where the fabric takes answers to callers.
+	Deliver netip.AddrPort
+	// Store and Machines are the URLs of the platform's services.
+	Store, Machines string
+	// Peers are other balancers to greet besides those of the machine list.
+	Peers []netip.AddrPort
+	// Workers is the number of workers on each socket.
+	Workers int
+	// LogFormat is text or json.
+	LogFormat string
+	// Bootstrap states that no balancer of this fleet has run before.
+	Bootstrap bool
+}
+
+// Option is one setting of the process, given by flag or in the settings file.
+type Option struct {
+	Name, Allowed string
+	Required      bool
+	set           func(*Config, string) error
+}
+
+// maxWorkers bounds the workers of one socket.
+const maxWorkers = 256
+
+// Options lists the settings of the process.
+var Options = []Option{
+	{"zone", "a name of at most 64 characters", true, func(c *Config, text string) error {
+		if text == "" || len(text) > 64 {
+			return fmt.Errorf("empty or too long")
+		}
+		c.Zone = text
+		return nil
+	}},
+	{"data", "IP:port", true, func(c *Config, text string) error { return setAddress(&c.Data, text) }},
+	{"peer", "IP:port", true, func(c *Config, text string) error { return setAddress(&c.Peer, text) }},
+	{"admin", "IP:port on loopback", true, func(c *Config, text string) error {
+		if err := setAddress(&c.Admin, text); err != nil {
+			return err
+		}
+		if !c.Admin.Addr().IsLoopback() {
+			return fmt.Errorf("not on loopback")
+		}
+		return nil
+	}},
+	{"deliver", "IP:port", true, func(c *Config, text string) error { return setAddress(&c.Deliver, text) }},
+	{"store", "http URL", true, func(c *Config, text string) error { return setURL(&c.Store, text) }},
+	{"machines", "http URL", true, func(c *Config, text string) error { return setURL(&c.Machines, text) }},
+	{"peers", "IP:port, separated by commas", false, func(c *Config, text string) error {
+		c.Peers = nil
+		for part := range strings.SplitSeq(text, ",") {
+			var address netip.AddrPort
+			if err := setAddress(&address, strings.TrimSpace(part)); err != nil {
+				return err
+			}
+			c.Peers = append(c.Peers, address)
+		}
+		return nil
+	}},
+	{"workers", "1 to " + strconv.Itoa(maxWorkers), false, func(c *Config, text string) error {
+		workers, err := strconv.Atoi(text)
+		if err != nil || workers < 1 || workers > maxWorkers {
+			return fmt.Errorf("not a whole number in range")
+		}
+		c.Workers = workers
+		return nil
+	}},
+	{"log-format", "text or json", false, func(c *Config, text string) error {
+		if text != "text" && text != "json" {
+			return fmt.Errorf("not one of the words")
+		}
+		c.LogFormat = text
+		return nil
+	}},
+	{"bootstrap", "true or false", false, func(c *Config, text string) error {
+		value, err := strconv.ParseBool(text)
+		c.Bootstrap = value
+		return err
+	}},
+}
+
+func setAddress(into *netip.AddrPort, text string) error {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return err
+	}
+	if address.Port() == 0 {
+		return fmt.Errorf("port 0")
+	}
+	*into = address
+	return nil
+}
+
+func setURL(into *string, text string) error {
+	parsed, err := url.Parse(text)
+	if err != nil {
+		return err
+	}
+	if parsed.Scheme != "http" || parsed.Host == "" {
+		return fmt.Errorf("not an http URL")
+	}
+	*into = text
+	return nil
+}
+
+// defaultWorkers is the number of workers on each socket when none is given.
+const defaultWorkers = 4
+
+// Flag is one value given on the command line.
+type Flag struct{ Name, Value string }
+
+// LoadConfig reads the settings file, if one is named, and then the flags,
+// which win. It returns every fault, each with file and line or with its flag,
+// the value, and what is allowed.
+func LoadConfig(file string, flags []Flag) (Config, []error) {
+	config := Config{Workers: defaultWorkers, LogFormat: "text"}
+	given := map[string]bool{}
+	var faults []error
+	if file != "" {
+		faults = config.readFile(file, given)
+	}
+	for _, flag := range flags {
+		given[flag.Name] = true
+		if err := config.set(flag.Name, flag.Value); err != nil {
+			faults = append(faults, fmt.Errorf("--%w", err))
+		}
+	}
+	for _, option := range Options {
+		if option.Required && !given[option.Name] {
+			faults = append(faults, fmt.Errorf("--%s: missing; allowed: %s", option.Name, option.Allowed))
+		}
+	}
+	return config, faults
+}
+
+func (c *Config) set(name, value string) error {
+	index := slices.IndexFunc(Options, func(o Option) bool { return o.Name == name })
+	if index < 0 {
+		return fmt.Errorf("%s: unknown setting", name)
+	}
+	if err := Options[index].set(c, value); err != nil {
+		return fmt.Errorf("%s=%q: %w; allowed: %s", name, value, err, Options[index].Allowed)
+	}
+	return nil
+}
+
+func (c *Config) readFile(file string, given map[string]bool) []error {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return []error{err}
+	}
+	var document yaml.Node
+	if err := yaml.Unmarshal(content, &document); err != nil {
+		return []error{fmt.Errorf("%s: %w", file, err)}
+	}
+	if len(document.Content) == 0 {
+		return nil
+	}
+	root := document.Content[0]
+	if root.Kind != yaml.MappingNode {
+		return []error{fmt.Errorf("%s:%d: wants a mapping of settings", file, root.Line)}
+	}
+	var faults []error
+	for i := 0; i+1 < len(root.Content); i += 2 {
+		name, value := root.Content[i], root.Content[i+1]
+		if err := c.set(name.Value, value.Value); err != nil {
+			faults = append(faults, fmt.Errorf("%s:%d: %w", file, name.Line, err))
+		}
+		given[name.Value] = true
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/errkind/errkind.go
@@ -0,0 +1,131 @@
+// Package errkind is the closed list of ways a request or datagram can fail,
+// and the one table from a failure kind to the answer its caller receives.
+package errkind
+
+import (
+	"fmt"
+
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/zeebo/errs"
+)
+
+// Kind names one way a request or datagram can fail.
+type Kind uint8
+
+// The closed list of kinds. Add a row to table for each new one.
+const (
+	// None means that nothing failed.
+	None Kind = iota
+	// Malformed is a datagram that no decoder accepts.
+	Malformed
+	// Oversized is a datagram above the service's max_datagram setting.
+	Oversized
+	// WrongVersion is a peer datagram of a protocol version this node does not speak.
+	WrongVersion
+	// UnknownService is a datagram to an address that no service has.
+	UnknownService
+	// NoBackend means that no back end may take a new flow.
+	NoBackend
+	// ConnectionsFull means that every back end holds its limit of flows.
+	ConnectionsFull
+	// SlotsFull means that the flow's back end has its limit of requests in flight.
+	SlotsFull
+	// DeadlineTooShort means that the request could not finish before its deadline.
+	DeadlineTooShort
+	// RetryBudgetSpent means that the flow's retransmissions exceed the retry budget.
+	RetryBudgetSpent
+	// OutcomeUnknown means that the request may or may not have run.
+	OutcomeUnknown
+	// DeadlineExceeded means that a forwarded request was not answered in time.
+	DeadlineExceeded
+	// NoOwner means that no balancer could be found to own the flow within the hop limit.
+	NoOwner
+
+	kindCount
+)
+
+// Ran tells whether a failed request ran at a back end.
+type Ran uint8
+
+// The three truths that an answer can state about a failed request.
+const (
+	// RanNo states that the request did not run and never will.
+	RanNo Ran = iota
+	// RanUnknown states that the request may have run.
+	RanUnknown
+	// RanNotTold is used where no answer is sent at all.
+	RanNotTold
+)
+
+// String returns the word used in documents and logs.
+func (r Ran) String() string {
+	return [...]string{"no", "unknown", "not told"}[r]
+}
+
+// Answer is what the caller is told for one kind.
+type Answer struct {
+	// Name is the counter label and log word of the kind.
+	Name string
+	// Code is the CoAP response code; codes.Empty means that no answer is sent.
+	Code codes.Code
+	// Ran is what the answer states about the request.
+	Ran Ran
+	// Retry tells whether the answer carries Max-Age, the seconds to wait before a new request.
+	Retry bool
+}
+
+var table = [kindCount]Answer{
+	None:             {"none", codes.Empty, RanNotTold, false},
+	Malformed:        {"malformed", codes.Empty, RanNotTold, false},
+	Oversized:        {"oversized", codes.Empty, RanNotTold, false},
+	WrongVersion:     {"wrong_version", codes.Empty, RanNotTold, false},
+	UnknownService:   {"unknown_service", codes.Empty, RanNotTold, false},
+	NoBackend:        {"no_backend", codes.ServiceUnavailable, RanNo, true},
+	ConnectionsFull:  {"connections_full", codes.ServiceUnavailable, RanNo, true},
+	SlotsFull:        {"slots_full", codes.ServiceUnavailable, RanNo, true},
+	DeadlineTooShort: {"deadline_too_short", codes.ServiceUnavailable, RanNo, true},
+	RetryBudgetSpent: {"retry_budget_spent", codes.Empty, RanNotTold, false},
+	OutcomeUnknown:   {"outcome_unknown", codes.GatewayTimeout, RanUnknown, true},
+	DeadlineExceeded: {"deadline_exceeded", codes.GatewayTimeout, RanUnknown, false},
+	NoOwner:          {"no_owner", codes.Empty, RanNotTold, false},
+}
+
+// Answer returns the table row of the kind; an unknown kind has the row of OutcomeUnknown.
+func (k Kind) Answer() Answer {
+	if k >= kindCount {
+		return table[OutcomeUnknown]
+	}
+	return table[k]
+}
+
+// String returns the kind's counter label.
+func (k Kind) String() string {
+	return k.Answer().Name
+}
+
+// All returns every kind but None, in table order.
+func All() []Kind {
+	kinds := make([]Kind, 0, kindCount-1)
+	for k := Malformed; k < kindCount; k++ {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// Class is the zeebo/errs class of errors that carry a Kind.
+var Class = errs.Class("gaugeyard")
+
+// New returns an error of the kind with a reason in the manner of fmt.Sprintf.
+func New(kind Kind, format string, arguments ...any) error {
+	return Class.Wrap(&kindError{kind: kind, reason: fmt.Sprintf(format, arguments...)})
+}
+
+type kindError struct {
+	kind   Kind
+	reason string
+}
+
+// Error implements error.
+func (e *kindError) Error() string {
+	return e.kind.String() + ": " + e.reason
+}
--- /dev/null
+++ b/internal/membership/detector.go
@@ -0,0 +1,162 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Timing of the failure detector.
+const (
+	// HeartbeatInterval is the time between two heartbeats to each peer.
+	HeartbeatInterval = 400 * time.Millisecond
+	// DeadAfter is the silence after which a peer leaves the view. A node that
+	// starts, or resumes after a pause, listens this long before it joins.
+	DeadAfter = 1500 * time.Millisecond
+	// ForgetAfter is the silence after which a peer that the machine list does
+	// not name no longer counts towards the quorum.
+	ForgetAfter = 10 * time.Second
+)
+
+// peer is what the detector knows of another balancer.
+type peer struct {
+	// Member has the zero ID until the first heartbeat.
+	Member
+	heard   time.Duration
+	listed  bool
+	leaving bool
+}
+
+func (p *peer) alive(now time.Duration) bool {
+	return p.ID != 0 && now-p.heard <= DeadAfter
+}
+
+// Detector decides which peers are alive from their heartbeats and the machine
+// list. Peers are kept in order of address.
+type Detector struct {
+	self  Member
+	peers []*peer
+	// absent keeps this node out of the view that it computes.
+	absent bool
+}
+
+// NewDetector returns a detector for the node, which is not yet in its own view.
+func NewDetector(self Member) *Detector {
+	return &Detector{self: self, absent: true}
+}
+
+func (d *Detector) find(id ID) *peer {
+	for _, p := range d.peers {
+		if p.ID == id {
+			return p
+		}
+	}
+	return nil
+}
+
+func (d *Detector) at(address netip.AddrPort) *peer {
+	index, known := slices.BinarySearchFunc(d.peers, address, func(p *peer, a netip.AddrPort) int {
+		return p.Address.Compare(a)
+	})
+	if !known {
+		d.peers = slices.Insert(d.peers, index, &peer{Member: Member{Address: address}})
+	}
+	return d.peers[index]
+}
+
+// Heard records a heartbeat. A new identifier at a known address is a process
+// that was started again and has lost what its predecessor knew.
+func (d *Detector) Heard(now time.Duration, member Member, leaving bool) {
+	if member.Address == d.self.Address {
+		return
+	}
+	p := d.at(member.Address)
+	p.Member = member
+	p.heard = now
+	p.leaving = leaving
+}
+
+// Listed replaces what the machine list says. The list lags: it only adds
+// addresses to send heartbeats to and members that count towards the quorum.
+func (d *Detector) Listed(addresses []netip.AddrPort) {
+	for _, p := range d.peers {
+		p.listed = false
+	}
+	for _, address := range addresses {
+		if address != d.self.Address {
+			d.at(address).listed = true
+		}
+	}
+}
+
+// Join puts this node into its own view, and Withdraw takes it out.
+func (d *Detector) Join() { d.absent = false }
+
+// Withdraw takes this node out of its own view.
+func (d *Detector) Withdraw() { d.absent = true }
+
+// Joined tells whether this node is in its own view.
+func (d *Detector) Joined() bool { return !d.absent }
+
+// Resume treats every peer that was alive at the moment of the last tick as
+// heard now, for a node that stood still since then.
+func (d *Detector) Resume(lastTick, now time.Duration) {
+	for _, p := range d.peers {
+		if p.alive(lastTick) {
+			p.heard = now
+		}
+	}
+}
+
+// Forget drops peers that are neither listed nor heard from.
+func (d *Detector) Forget(now time.Duration) {
+	d.peers = slices.DeleteFunc(d.peers, func(p *peer) bool {
+		return !p.listed && (p.ID == 0 || now-p.heard > ForgetAfter)
+	})
+}
+
+// Live returns the members of the view at now, in order of identifier.
+func (d *Detector) Live(now time.Duration) []Member {
+	var members []Member
+	if !d.absent {
+		members = append(members, d.self)
+	}
+	for _, p := range d.peers {
+		if p.alive(now) && !p.leaving {
+			members = append(members, p.Member)
+		}
+	}
+	slices.SortFunc(members, compareMembers)
+	return members
+}
+
+// Quorum tells whether this node hears a majority of the members it knows,
+// itself included. Peers that announced that they leave do not count.
+func (d *Detector) Quorum(now time.Duration) bool {
+	known, heard := 1, 1
+	for _, p := range d.peers {
+		if p.leaving {
+			continue
+		}
+		known++
+		if p.alive(now) {
+			heard++
+		}
+	}
+	return 2*heard > known
+}
+
+// Overdue tells whether the peer's last heartbeat is late, before it counts as dead.
+func (d *Detector) Overdue(id ID, now time.Duration) bool {
+	p := d.find(id)
+	return p == nil || now-p.heard > HeartbeatInterval+HeartbeatInterval/2
+}
+
+// Addresses returns where heartbeats are sent: every known peer.
+func (d *Detector) Addresses() []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(d.peers))
+	for _, p := range d.peers {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/operator/edit.go
@@ -0,0 +1,195 @@
+// Package operator holds the operators' commands on the settings tree and on
+// the running balancers.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"gaugeyard/internal/datapath"
+	"gaugeyard/internal/platform"
+	"gaugeyard/internal/settings"
+)
+
+// Invalid is the class of errors in what the operator gave.
+var Invalid = errs.Class("invalid")
+
+// ConflictError means that another edit was accepted first.
+type ConflictError struct {
+	// Base is the revision that the edit was made from, and Now the newest.
+	Base, Now uint64
+	// Changes lead from the base to the newest revision.
+	Changes []settings.Change
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("conflict: the edit was made from revision %d, but revision %d is in force", e.Base, e.Now)
+}
+
+const (
+	// settleAttempts is how often a lost reply is settled by reading back.
+	settleAttempts = 10
+	settlePause    = 300 * time.Millisecond
+	// pushTimeout bounds handing an accepted tree to one balancer.
+	pushTimeout = time.Second
+	// pushTargets is how many balancers are handed an accepted tree; they tell the rest.
+	pushTargets = 2
+)
+
+// Session is one operator's access to the platform.
+type Session struct {
+	Store *platform.Store
+	// Machines is the URL of the machine list; empty skips handing accepted
+	// edits to balancers directly.
+	Machines string
+	Author   string
+}
+
+// Accepted describes an edit that was accepted.
+type Accepted struct {
+	Revision uint64            `json:"revision"`
+	EditID   string            `json:"edit_id"`
+	Changes  []settings.Change `json:"changes"`
+	// Pushed is the number of balancers that confirmed the revision at once.
+	Pushed int `json:"pushed"`
+}
+
+// Edit changes the tree: mutate is applied to a copy, and the result is
+// accepted whole or not at all. With base other than 0 the edit is refused
+// unless base is the newest revision. Errors are of class Invalid or
+// platform.Unavailable, or a *ConflictError.
+func (s *Session) Edit(ctx context.Context, base uint64, mutate func(settings.Tree) error) (Accepted, error) {
+	state, err := s.Store.Load(ctx)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if base != 0 && base != state.Head.Revision {
+		return Accepted{}, s.conflict(ctx, base, state)
+	}
+	next := state.Tree.Clone()
+	if err := mutate(next); err != nil {
+		return Accepted{}, Invalid.Wrap(err)
+	}
+	if faults := next.Validate(); len(faults) > 0 {
+		return Accepted{}, Invalid.Wrap(errors.Join(faults...))
+	}
+	changes := settings.Diff(state.Tree, next)
+	if len(changes) == 0 {
+		return Accepted{Revision: state.Head.Revision}, nil
+	}
+	edit := platform.Edit{
+		Revision: state.Head.Revision + 1,
+		EditID:   rand.Text(),
+		Author:   s.Author,
+		Time:     time.Now().UTC(),
+		Changes:  changes,
+	}
+	if err := s.commit(ctx, state, next, edit); err != nil {
+		return Accepted{}, err
+	}
+	pushed := s.push(ctx, datapath.Push{Head: platform.Head{Revision: edit.Revision, EditID: edit.EditID}, Tree: next})
+	return Accepted{Revision: edit.Revision, EditID: edit.EditID, Changes: changes, Pushed: pushed}, nil
+}
+
+// commit writes the edit. A write whose reply was lost is settled by reading
+// back; it is written again only when it had no effect, and the store's
+// comparison keeps it from being applied twice.
+func (s *Session) commit(ctx context.Context, state *platform.State, next settings.Tree, edit platform.Edit) error {
+	var lost error
+	for range settleAttempts {
+		err := s.Store.Commit(ctx, state, next, edit)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, platform.ErrConflict):
+			accepted, settleErr := s.Store.Settle(ctx, edit)
+			if settleErr == nil && accepted {
+				return nil
+			}
+			if settleErr == nil {
+				return s.conflict(ctx, state.Head.Revision, nil)
+			}
+			lost = settleErr
+		case platform.Unavailable.Has(err):
+			lost = err
+		default:
+			return err
+		}
+		time.Sleep(settlePause)
+	}
+	if accepted, err := s.Store.Settle(ctx, edit); err == nil {
+		if accepted {
+			return nil
+		}
+		return fmt.Errorf("the edit was not accepted: %w", lost)
+	}
+	return fmt.Errorf("it is not known whether edit %s was accepted; see history: %w", edit.EditID, lost)
+}
+
+// conflict describes what happened since base.
+func (s *Session) conflict(ctx context.Context, base uint64, state *platform.State) error {
+	if state == nil {
+		var err error
+		if state, err = s.Store.Load(ctx); err != nil {
+			return err
+		}
+	}
+	conflict := &ConflictError{Base: base, Now: state.Head.Revision}
+	edits, err := s.Store.History(ctx, historyLimit)
+	if err != nil {
+		return err
+	}
+	for i := len(edits) - 1; i >= 0; i-- {
+		if edits[i].Revision > base {
+			conflict.Changes = append(conflict.Changes, edits[i].Changes...)
+		}
+	}
+	return conflict
+}
+
+// push hands an accepted tree to balancers, so that it comes into force even
+// if the store fails before they read it. It returns how many confirmed.
+func (s *Session) push(ctx context.Context, push datapath.Push) int {
+	if s.Machines == "" {
+		return 0
+	}
+	machines, err := platform.Machines(ctx, s.Machines)
+	if err != nil {
+		return 0
+	}
+	body, err := json.Marshal(push)
+	if err != nil {
+		return 0
+	}
+	confirmed := 0
+	for _, machine := range machines {
+		if confirmed < pushTargets && pushTo(ctx, machine, body) {
+			confirmed++
+		}
+	}
+	return confirmed
+}
+
+func pushTo(ctx context.Context, machine platform.Machine, body []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+machine.Admin.String()+"/settings", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	reply, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	reply.Body.Close()
+	return reply.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,137 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"gaugeyard/internal/balancer"
+	"gaugeyard/internal/platform"
+)
+
+// StatusCommand prints the state of every balancer and back end.
+type StatusCommand struct {
+	Access
+}
+
+// FleetStatus is what status prints.
+type FleetStatus struct {
+	// Newest is the newest accepted revision, 0 when the store is unreachable.
+	Newest    uint64             `json:"newest_revision"`
+	Store     string             `json:"store"`
+	Balancers []BalancerStatus   `json:"balancers"`
+	Backends  []BackendAggregate `json:"backends"`
+	// Imbalance is the largest number of flows of an active back end over the mean.
+	Imbalance float64 `json:"imbalance"`
+}
+
+// BalancerStatus is one balancer's status, or why there is none.
+type BalancerStatus struct {
+	balancer.Status
+	Error string `json:"error,omitempty"`
+}
+
+// BackendAggregate is one back end over all balancers.
+type BackendAggregate struct {
+	balancer.BackendStatus
+}
+
+// statusTimeout bounds asking one balancer.
+const statusTimeout = time.Second
+
+func newSession(a Access) *Session {
+	return &Session{Store: platform.NewStore(a.Store), Machines: a.Machines, Author: a.Author}
+}
+
+// Run implements Command.
+func (c *StatusCommand) Run(ctx context.Context, out io.Writer) error {
+	session, err := c.session()
+	if err != nil {
+		return err
+	}
+	if c.Machines == "" {
+		return Invalid.New("--machines is missing (or GAUGEYARD_MACHINES); allowed: http URL")
+	}
+	status := FleetStatus{Store: "reachable"}
+	if state, err := session.Store.Load(ctx); err == nil {
+		status.Newest = state.Head.Revision
+	} else {
+		status.Store = "unreachable"
+	}
+	machines, err := platform.Machines(ctx, c.Machines)
+	if err != nil {
+		return err
+	}
+	for _, machine := range machines {
+		status.Balancers = append(status.Balancers, ask(ctx, machine))
+	}
+	status.aggregate()
+	return c.print(out, status, status.text)
+}
+
+func ask(ctx context.Context, machine platform.Machine) BalancerStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status := BalancerStatus{}
+	status.Address = machine.Peer.String()
+	status.Zone = machine.Zone
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+machine.Admin.String()+"/status", nil)
+	if err != nil {
+		status.Error = err.Error()
+		return status
+	}
+	reply, err := http.DefaultClient.Do(request)
+	if err != nil {
+		status.Error = err.Error()
+		return status
+	}
+	defer reply.Body.Close()
+	if err := json.NewDecoder(reply.Body).Decode(&status.Status); err != nil {
+		status.Error = err.Error()
+	}
+	return status
+}
+
+// aggregate adds up the back ends of all balancers.
+func (s *FleetStatus) aggregate() {
+	index := map[string]int{}
+	for _, node := range s.Balancers {
+		for _, backend := range node.Backends {
+			at, known := index[backend.Address]
+			if !known {
+				index[backend.Address] = len(s.Backends)
+				s.Backends = append(s.Backends, BackendAggregate{backend})
+				continue
+			}
+			s.Backends[at].Flows += backend.Flows
+			s.Backends[at].InFlight += backend.InFlight
+		}
+	}
+	total, active, largest := int64(0), 0, int64(0)
+	for _, backend := range s.Backends {
+		if backend.State != balancer.Active.String() {
+			continue
+		}
+		active++
+		total += backend.Flows
+		largest = max(largest, backend.Flows)
+	}
+	if total > 0 {
+		s.Imbalance = float64(largest) * float64(active) / float64(total)
+	}
+}
+
+func (s *FleetStatus) text(w io.Writer) {
+	fmt.Fprintf(w, "store %s, newest revision %d, imbalance %.2f\n\n", s.Store, s.Newest, s.Imbalance)
+	fmt.Fprintln(w, "BALANCER\tZONE\tPHASE\tREVISION\tMEMBERS\tFLOWS\tOWNED\tNOTE")
+	for _, node := range s.Balancers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s%s\n", node.Address, node.Zone, node.Phase, node.Revision, len(node.Members), node.Flows, node.Owned, node.Waiting, node.Error)
+	}
+	fmt.Fprintln(w, "\nBACK END\tADDRESS\tSTATE\tFLOWS\tIN FLIGHT")
+	for _, backend := range s.Backends {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\n", backend.Path, backend.Address, backend.State, backend.Flows, backend.InFlight)
+	}
+}
--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,211 @@
+// Package settings holds the operators' tree: services, zones, back-end groups
+// and back ends, where each child inherits its parent's values and overrides
+// only what differs. It parses, validates, resolves and compares trees. It does
+// no input or output.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Key names one setting.
+type Key string
+
+// The settings of the tree.
+const (
+	KeyAddress         Key = "address"
+	KeyBackendsFrom    Key = "backends_from"
+	KeyState           Key = "state"
+	KeyLoadAddress     Key = "load_address"
+	KeyWeight          Key = "weight"
+	KeySlots           Key = "slots"
+	KeyConnections     Key = "connections"
+	KeyQueueFactor     Key = "queue_factor"
+	KeyRequestDeadline Key = "request_deadline"
+	KeyRequestLifetime Key = "request_lifetime"
+	KeyRepeatable      Key = "repeatable"
+	KeyRetryBudget     Key = "retry_budget"
+	KeyFlowIdle        Key = "flow_idle"
+	KeySlowStart       Key = "slow_start"
+	KeyDrainTime       Key = "drain_time"
+	KeyLoadFactor      Key = "load_factor"
+	KeyRefusalRetry    Key = "refusal_retry"
+	KeyMaxDatagram     Key = "max_datagram"
+)
+
+// Level is the depth of a node in the tree.
+type Level int
+
+// The levels, from the root down.
+const (
+	LevelRoot Level = iota
+	LevelService
+	LevelZone
+	LevelGroup
+	LevelBackend
+	levelCount
+)
+
+// String returns the level's name as used in messages.
+func (l Level) String() string {
+	return [...]string{"root", "service", "zone", "group", "backend"}[l]
+}
+
+// childrenWord is the YAML key under which a node of the level lists its children.
+func (l Level) childrenWord() string {
+	return [...]string{"services", "zones", "groups", "backends", ""}[l]
+}
+
+// Field describes one setting.
+type Field struct {
+	Key Key
+	// Default is the canonical value at the root; empty means that there is none.
+	Default string
+	// First and Last bound the levels at which the setting may be set.
+	First, Last Level
+	// Allowed tells operators which values are accepted.
+	Allowed string
+	// Help is one line for the reference page.
+	Help string
+	// canonical parses a value and returns its canonical form.
+	canonical func(text string) (string, error)
+}
+
+// Fields lists every setting in the order of the reference page.
+var Fields = []Field{
+	{KeyAddress, "", LevelService, LevelBackend, "IP:port", "Where callers reach a service, or where a back end listens.", canonicalAddress},
+	{KeyBackendsFrom, "", LevelService, LevelService, "name of a service", "Uses the zones, groups and back ends of another service.", canonicalName},
+	{KeyState, "active", LevelBackend, LevelBackend, "active or drain", "A back end in drain gets no new flow.", canonicalWord("active", "drain")},
+	{KeyLoadAddress, "", LevelBackend, LevelBackend, "IP:port", "Where a back end reports its load over HTTP at /metrics; without it, it reports none.", canonicalAddress},
+	{KeyWeight, "1", LevelBackend, LevelBackend, "0.01 to 100", "Share of new flows relative to the group's other back ends.", canonicalFloat(0.01, 100)},
+	{KeySlots, "2", LevelRoot, LevelBackend, "1 to 4096", "Requests that a back end runs at once.", canonicalInt(1, 4096)},
+	{KeyConnections, "2000", LevelRoot, LevelBackend, "1 to 1000000", "Flows that a back end holds at once.", canonicalInt(1, 1000000)},
+	{KeyQueueFactor, "6", LevelRoot, LevelBackend, "1 to 100", "Requests in flight to a back end over all balancers, as a multiple of its slots.", canonicalFloat(1, 100)},
+	{KeyRequestDeadline, "2s", LevelRoot, LevelService, "10ms to 10m", "Time from a request's arrival until it is given up.", canonicalDuration(10*time.Millisecond, 10*time.Minute)},
+	{KeyRequestLifetime, "45s", LevelRoot, LevelService, "1s to 10m", "Time during which copies of one request may still arrive.", canonicalDuration(time.Second, 10*time.Minute)},
+	{KeyRepeatable, "false", LevelRoot, LevelService, "true or false", "Whether a request may run twice without harm.", canonicalWord("true", "false")},
+	{KeyRetryBudget, "0.2", LevelRoot, LevelService, "0 to 10", "Retransmissions forwarded, as a share of first transmissions.", canonicalFloat(0, 10)},
+	{KeyFlowIdle, "5m", LevelRoot, LevelService, "1s to 24h", "Time without a datagram after which a flow is forgotten.", canonicalDuration(time.Second, 24*time.Hour)},
+	{KeySlowStart, "10s", LevelRoot, LevelGroup, "0s to 10m", "Time over which a new back end's share grows to full.", canonicalDuration(0, 10*time.Minute)},
+	{KeyDrainTime, "10m", LevelRoot, LevelGroup, "0s to 24h", "Longest time that a draining back end keeps its flows before status calls it overdue.", canonicalDuration(0, 24*time.Hour)},
+	{KeyLoadFactor, "1.05", LevelRoot, LevelService, "1 to 10", "The placement dial: how far above the mean a back end's flows may rise before a new flow leaves its default place. Low evens load; high keeps flows at their defaults.", canonicalFloat(1, 10)},
+	{KeyRefusalRetry, "1s", LevelRoot, LevelService, "1s to 10m", "Time after which a refused caller is told to come back.", canonicalDuration(time.Second, 10*time.Minute)},
+	{KeyMaxDatagram, "4KiB", LevelRoot, LevelService, "64B to 60KiB", "Largest datagram accepted from a caller or back end.", canonicalSize(64, 60<<10)},
+}
+
+// FieldOf returns the description of the key and whether there is one.
+func FieldOf(key Key) (Field, bool) {
+	at := slices.IndexFunc(Fields, func(f Field) bool { return f.Key == key })
+	if at < 0 {
+		return Field{}, false
+	}
+	return Fields[at], true
+}
+
+func canonicalAddress(text string) (string, error) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return "", err
+	}
+	if address.Port() == 0 {
+		return "", fmt.Errorf("port 0")
+	}
+	return address.String(), nil
+}
+
+func canonicalName(text string) (string, error) {
+	if !validName(text) {
+		return "", fmt.Errorf("not a name")
+	}
+	return text, nil
+}
+
+func canonicalWord(words ...string) func(string) (string, error) {
+	return func(text string) (string, error) {
+		if !slices.Contains(words, text) {
+			return "", fmt.Errorf("not one of the words")
+		}
+		return text, nil
+	}
+}
+
+func canonicalInt(low, high int) func(string) (string, error) {
+	return func(text string) (string, error) {
+		value, err := strconv.Atoi(text)
+		if err != nil {
+			return "", fmt.Errorf("not a whole number")
+		}
+		if value < low || value > high {
+			return "", fmt.Errorf("out of range")
+		}
+		return strconv.Itoa(value), nil
+	}
+}
+
+func canonicalFloat(low, high float64) func(string) (string, error) {
+	return func(text string) (string, error) {
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return "", fmt.Errorf("not a number")
+		}
+		if !(value >= low && value <= high) {
+			return "", fmt.Errorf("out of range")
+		}
+		return strconv.FormatFloat(value, 'g', -1, 64), nil
+	}
+}
+
+func canonicalDuration(low, high time.Duration) func(string) (string, error) {
+	return func(text string) (string, error) {
+		value, err := time.ParseDuration(text)
+		if err != nil {
+			return "", fmt.Errorf("not a duration with a unit")
+		}
+		if value < low || value > high {
+			return "", fmt.Errorf("out of range")
+		}
+		return value.String(), nil
+	}
+}
+
+var sizeUnits = []struct {
+	suffix string
+	bytes  int
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"B", 1}}
+
+// parseSize reads a size with a unit, such as 4KiB, and returns bytes.
+func parseSize(text string) (int, error) {
+	for _, unit := range sizeUnits {
+		number, found := strings.CutSuffix(text, unit.suffix)
+		if !found {
+			continue
+		}
+		value, err := strconv.Atoi(number)
+		if err != nil || value > 1<<30 {
+			break
+		}
+		return value * unit.bytes, nil
+	}
+	return 0, fmt.Errorf("not a size with a unit")
+}
+
+func canonicalSize(low, high int) func(string) (string, error) {
+	return func(text string) (string, error) {
+		value, err := parseSize(text)
+		if err != nil {
+			return "", err
+		}
+		if value < low || value > high {
+			return "", fmt.Errorf("out of range")
+		}
+		if value%(1<<10) == 0 {
+			return strconv.Itoa(value>>10) + "KiB", nil
+		}
+		return strconv.Itoa(value) + "B", nil
+	}
+}
--- /dev/null
+++ b/internal/settings/tree.go
@@ -0,0 +1,346 @@
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strings"
+
+	"gopkg.in/yaml.v3"
+)
+
+// Path locates a node: "" is the root, then service, service/zone,
+// service/zone/group and service/zone/group/backend.
+type Path string
+
+const maxNameLength = 64
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+func validName(name string) bool {
+	return len(name) <= maxNameLength && namePattern.MatchString(name)
+}
+
+// Level returns the depth of the path; deeper paths than a back end's are not valid.
+func (p Path) Level() Level {
+	if p == "" {
+		return LevelRoot
+	}
+	return Level(strings.Count(string(p), "/") + 1)
+}
+
+// Parent returns the path one level up; the root's parent is the root.
+func (p Path) Parent() Path {
+	at := strings.LastIndexByte(string(p), '/')
+	if at < 0 {
+		return ""
+	}
+	return p[:at]
+}
+
+// Child returns the path of a child.
+func (p Path) Child(name string) Path {
+	if p == "" {
+		return Path(name)
+	}
+	return p + "/" + Path(name)
+}
+
+// Name returns the last part of the path.
+func (p Path) Name() string {
+	return string(p[strings.LastIndexByte(string(p), '/')+1:])
+}
+
+// String returns the path as operators write it; the root is "/".
+func (p Path) String() string {
+	if p == "" {
+		return "/"
+	}
+	return string(p)
+}
+
+// ParsePath reads a path as operators write it.
+func ParsePath(text string) (Path, error) {
+	trimmed := strings.Trim(text, "/")
+	if trimmed == "" {
+		return "", nil
+	}
+	for name := range strings.SplitSeq(trimmed, "/") {
+		if !validName(name) {
+			return "", fmt.Errorf("path %q: %q is not a name (lower-case letters, digits, '.', '-', at most %d)", text, name, maxNameLength)
+		}
+	}
+	path := Path(trimmed)
+	if path.Level() >= levelCount {
+		return "", fmt.Errorf("path %q: at most service/zone/group/backend", text)
+	}
+	return path, nil
+}
+
+// Values are the settings that a node itself gives, in canonical form.
+type Values map[Key]string
+
+// Tree is the whole of the operators' settings: a node for each path.
+type Tree map[Path]Values
+
+// Clone returns a deep copy.
+func (t Tree) Clone() Tree {
+	copied := make(Tree, len(t))
+	for path, values := range t {
+		copied[path] = maps.Clone(values)
+	}
+	return copied
+}
+
+// Paths returns every path in order, parents before children.
+func (t Tree) Paths() []Path {
+	return slices.Sorted(maps.Keys(t))
+}
+
+// Set gives the node at path its own value, creating the node. It returns an
+// error that names path, key, value and what is allowed.
+func (t Tree) Set(path Path, key Key, text string) error {
+	field, known := FieldOf(key)
+	if !known {
+		return fmt.Errorf("%s: unknown setting %q", path, key)
+	}
+	level := path.Level()
+	if level < field.First || level > field.Last || (key == KeyAddress && level != LevelService && level != LevelBackend) {
+		return fmt.Errorf("%s: %s cannot be set on a %s", path, key, level)
+	}
+	canonical, err := field.canonical(text)
+	if err != nil {
+		return fmt.Errorf("%s: %s=%q: %w; allowed: %s", path, key, text, err, field.Allowed)
+	}
+	if t[path] == nil {
+		t[path] = Values{}
+	}
+	t[path][key] = canonical
+	return nil
+}
+
+// Parse reads a tree from YAML. It returns every fault found, each with its line.
+func Parse(document []byte) (Tree, []error) {
+	var root yaml.Node
+	if err := yaml.Unmarshal(document, &root); err != nil {
+		return nil, []error{err}
+	}
+	tree := Tree{"": Values{}}
+	if len(root.Content) == 0 {
+		return tree, nil
+	}
+	faults := parseNode(tree, "", root.Content[0])
+	if len(faults) == 0 {
+		faults = tree.Validate()
+	}
+	return tree, faults
+}
+
+func parseNode(tree Tree, path Path, node *yaml.Node) []error {
+	if node.Kind == yaml.ScalarNode && node.Tag == "!!null" {
+		tree[path] = Values{}
+		return nil
+	}
+	if node.Kind != yaml.MappingNode {
+		return []error{fmt.Errorf("line %d: %s: wants a mapping of settings", node.Line, path)}
+	}
+	if tree[path] == nil {
+		tree[path] = Values{}
+	}
+	var faults []error
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		name, value := node.Content[i], node.Content[i+1]
+		if name.Value == path.Level().childrenWord() && name.Value != "" {
+			faults = append(faults, parseChildren(tree, path, value)...)
+			continue
+		}
+		if value.Kind != yaml.ScalarNode {
+			faults = append(faults, fmt.Errorf("line %d: %s: %s: unknown setting, or wants a single value", name.Line, path, name.Value))
+			continue
+		}
+		if _, twice := tree[path][Key(name.Value)]; twice {
+			faults = append(faults, fmt.Errorf("line %d: %s: %s: given twice", name.Line, path, name.Value))
+			continue
+		}
+		if err := tree.Set(path, Key(name.Value), value.Value); err != nil {
+			faults = append(faults, fmt.Errorf("line %d: %w", name.Line, err))
+		}
+	}
+	return faults
+}
+
+func parseChildren(tree Tree, path Path, node *yaml.Node) []error {
+	if node.Kind != yaml.MappingNode {
+		return []error{fmt.Errorf("line %d: %s: %s wants a mapping from names", node.Line, path, path.Level().childrenWord())}
+	}
+	var faults []error
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		name, child := node.Content[i], node.Content[i+1]
+		if !validName(name.Value) {
+			faults = append(faults, fmt.Errorf("line %d: %s: %q is not a name", name.Line, path, name.Value))
+			continue
+		}
+		childPath := path.Child(name.Value)
+		if tree[childPath] != nil {
+			faults = append(faults, fmt.Errorf("line %d: %s: given twice", name.Line, childPath))
+			continue
+		}
+		faults = append(faults, parseNode(tree, childPath, child)...)
+	}
+	return faults
+}
+
+// Format writes the tree as YAML in canonical order; Parse reads it back.
+func (t Tree) Format() ([]byte, error) {
+	return yaml.Marshal(t.yamlNode(""))
+}
+
+func (t Tree) yamlNode(path Path) *yaml.Node {
+	node := &yaml.Node{Kind: yaml.MappingNode}
+	for _, field := range Fields {
+		if value, given := t[path][field.Key]; given {
+			node.Content = append(node.Content, scalar(string(field.Key)), scalar(value))
+		}
+	}
+	children := t.children(path)
+	if len(children) == 0 {
+		return node
+	}
+	list := &yaml.Node{Kind: yaml.MappingNode}
+	for _, child := range children {
+		list.Content = append(list.Content, scalar(child.Name()), t.yamlNode(child))
+	}
+	node.Content = append(node.Content, scalar(path.Level().childrenWord()), list)
+	return node
+}
+
+func scalar(value string) *yaml.Node {
+	return &yaml.Node{Kind: yaml.ScalarNode, Value: value}
+}
+
+// children returns the paths directly below path, in order.
+func (t Tree) children(path Path) []Path {
+	var children []Path
+	for candidate := range t {
+		if candidate != "" && candidate.Parent() == path {
+			children = append(children, candidate)
+		}
+	}
+	slices.Sort(children)
+	return children
+}
+
+// Effective returns the value in force at path and the path it comes from.
+// The source is "default" when no node gives the value; the value is empty
+// when there is no default either.
+func (t Tree) Effective(path Path, key Key) (value, source string) {
+	field, _ := FieldOf(key)
+	inherited := field.First < field.Last && key != KeyAddress
+	for at := path; ; at = at.Parent() {
+		if value, given := t[at][key]; given {
+			return value, at.String()
+		}
+		if at == "" || !inherited {
+			return field.Default, "default"
+		}
+	}
+}
+
+// Change is one difference between two trees. An empty Before or After means
+// that the node did not give the value.
+type Change struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Path   Path   `json:"path" msgpack:"p"`
+	Key    Key    `json:"key" msgpack:"k"`
+	Before string `json:"before,omitempty" msgpack:"b"`
+	After  string `json:"after,omitempty" msgpack:"a"`
+}
+
+// String returns the change on one line.
+func (c Change) String() string {
+	return fmt.Sprintf("%s %s: %q -> %q", c.Path, c.Key, c.Before, c.After)
+}
+
+// Diff returns the changes that lead from before to after, in path order.
+func Diff(before, after Tree) []Change {
+	paths := before.Clone()
+	for path := range after {
+		paths[path] = nil
+	}
+	var changes []Change
+	for _, path := range paths.Paths() {
+		for _, field := range Fields {
+			old, now := before[path][field.Key], after[path][field.Key]
+			if old != now {
+				changes = append(changes, Change{Path: path, Key: field.Key, Before: old, After: now})
+			}
+		}
+	}
+	return changes
+}
+
+// Apply makes the changes; a node whose last value goes is removed, unless it
+// still has children.
+func (t Tree) Apply(changes []Change) error {
+	for _, change := range changes {
+		if change.After == "" {
+			delete(t[change.Path], change.Key)
+			continue
+		}
+		if err := t.Set(change.Path, change.Key, change.After); err != nil {
+			return err
+		}
+	}
+	t.prune()
+	return nil
+}
+
+// prune adds missing parents and removes back ends that have no values left.
+func (t Tree) prune() {
+	for _, path := range t.Paths() {
+		if path.Level() == LevelBackend && len(t[path]) == 0 {
+			delete(t, path)
+			continue
+		}
+		for at := path.Parent(); t[at] == nil; at = at.Parent() {
+			t[at] = Values{}
+		}
+	}
+	for _, path := range slices.Backward(t.Paths()) {
+		if path != "" && len(t[path]) == 0 && len(t.children(path)) == 0 {
+			delete(t, path)
+		}
+	}
+}
+
+// Remove deletes the node at path and everything below it.
+func (t Tree) Remove(path Path) {
+	for candidate := range t {
+		if candidate == path || strings.HasPrefix(string(candidate), string(path)+"/") {
+			delete(t, candidate)
+		}
+	}
+}
+
+// Checked returns the tree in canonical form, or its first fault. It is for
+// trees that come from outside, such as from the store.
+func Checked(tree Tree) (Tree, error) {
+	checked := Tree{"": Values{}}
+	for _, path := range tree.Paths() {
+		if parsed, err := ParsePath(string(path)); err != nil || parsed != path {
+			return nil, fmt.Errorf("%q is not a path", path)
+		}
+		checked[path] = Values{}
+		for _, key := range slices.Sorted(maps.Keys(tree[path])) {
+			if err := checked.Set(path, key, tree[path][key]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if faults := checked.Validate(); len(faults) > 0 {
+		return nil, faults[0]
+	}
+	return checked, nil
+}
--- /dev/null
+++ b/internal/wire/answer.go
@@ -0,0 +1,57 @@
+package wire
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/plgd-dev/go-coap/v3/udp/coder"
+
+	"gaugeyard/internal/balancer"
+	"gaugeyard/internal/errkind"
+)
+
+// maxAnswer is room enough for every answer that a balancer writes, in bytes.
+const maxAnswer = 128
+
+// EncodeAnswer returns the datagram, header included, that tells a caller how
+// its request failed; nil when the kind is not answered. A request that is
+// still unacknowledged is answered in its acknowledgement, another one in a
+// message of its own with messageID.
+func EncodeAnswer(packet *balancer.Packet, kind errkind.Kind, retry time.Duration, messageID uint16) ([]byte, error) {
+	row := kind.Answer()
+	if row.Code == codes.Empty {
+		return nil, nil
+	}
+	header, err := AnswerHeader(packet.Flow, netip.AddrPort{})
+	if err != nil {
+		return nil, err
+	}
+	answer := message.Message{
+		Code:      row.Code,
+		Token:     packet.Token.Bytes[:packet.Token.Length],
+		Type:      message.NonConfirmable,
+		MessageID: int32(messageID),
+	}
+	if packet.Confirmable {
+		answer.Type = message.Acknowledgement
+		answer.MessageID = int32(packet.MessageID)
+	}
+	if row.Retry {
+		seconds := uint32(math.Ceil(retry.Seconds()))
+		buffer := make([]byte, 8)
+		answer.Options, _, err = answer.Options.SetUint32(buffer, message.MaxAge, seconds)
+		if err != nil {
+			return nil, err
+		}
+	}
+	datagram := make([]byte, len(header)+maxAnswer)
+	copy(datagram, header)
+	length, err := coder.DefaultCoder.Encode(answer, datagram[len(header):])
+	if err != nil {
+		return nil, err
+	}
+	return datagram[:len(header)+length], nil
+}
