--- a/internal/balancer/tick.go
+++ b/internal/balancer/tick.go
@@ -290,7 +290,7 @@
 // sendControl sends a control message within the byte budget and tells whether
 // it was sent.
 func (c *Core) sendControl(now time.Duration, to netip.AddrPort, message *Message, class budgetClass, effects *Effects) bool {
-	size := c.config.Measure(message) + datagramOverhead
+	size := c.config.Measure(message) + DatagramOverhead
 	if !c.budget.spend(now, size, class) {
 		c.Counters.ControlDeferred.Add(1)
 		return false
--- a/internal/balancer/types.go
+++ b/internal/balancer/types.go
@@ -197,8 +197,8 @@
 // DefaultControlBytesPerSecond keeps every window of one second below 4 KB.
 const DefaultControlBytesPerSecond = 3800
 
-// datagramOverhead is the IPv4 and UDP header of one datagram, in bytes.
-const datagramOverhead = 28
+// DatagramOverhead is the IPv4 and UDP header of one datagram, in bytes.
+const DatagramOverhead = 28
 
 // HopLimit is how often a datagram may pass from balancer to balancer.
 const HopLimit = 4
--- a/internal/operator/edit.go
+++ b/internal/operator/edit.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"gaugeyard/internal/datapath"
+	"gaugeyard/internal/edit"
 	"gaugeyard/internal/platform"
 	"gaugeyard/internal/settings"
 )
@@ -36,9 +37,8 @@
 }
 
 const (
-	// settleAttempts is how often a lost reply is settled by reading back.
-	settleAttempts = 10
-	settlePause    = 300 * time.Millisecond
+	// settlePause is the wait before a lost reply is settled by reading back.
+	settlePause = 300 * time.Millisecond
 	// pushTimeout bounds handing an accepted tree to one balancer.
 	pushTimeout = time.Second
 	// pushTargets is how many balancers are handed an accepted tree; they tell the rest.
@@ -86,53 +86,76 @@
 	if len(changes) == 0 {
 		return Accepted{Revision: state.Head.Revision}, nil
 	}
-	edit := platform.Edit{
+	change := platform.Edit{
 		Revision: state.Head.Revision + 1,
 		EditID:   rand.Text(),
 		Author:   s.Author,
 		Time:     time.Now().UTC(),
 		Changes:  changes,
 	}
-	if err := s.commit(ctx, state, next, edit); err != nil {
+	if err := s.commit(ctx, state, next, change); err != nil {
 		return Accepted{}, err
 	}
-	pushed := s.push(ctx, datapath.Push{Head: platform.Head{Revision: edit.Revision, EditID: edit.EditID}, Tree: next})
-	return Accepted{Revision: edit.Revision, EditID: edit.EditID, Changes: changes, Pushed: pushed}, nil
+	head := platform.Head{Revision: change.Revision, EditID: change.EditID}
+	pushed := s.push(ctx, datapath.Push{Head: head, Tree: next})
+	return Accepted{Revision: change.Revision, EditID: change.EditID, Changes: changes, Pushed: pushed}, nil
 }
 
-// commit writes the edit. A write whose reply was lost is settled by reading
-// back; it is written again only when it had no effect, and the store's
-// comparison keeps it from being applied twice.
-func (s *Session) commit(ctx context.Context, state *platform.State, next settings.Tree, edit platform.Edit) error {
+// commit takes the edit through its protocol.
+func (s *Session) commit(ctx context.Context, state *platform.State, next settings.Tree, change platform.Edit) error {
+	machine := &edit.Machine{}
 	var lost error
-	for range settleAttempts {
-		err := s.Store.Commit(ctx, state, next, edit)
-		switch {
-		case err == nil:
-			return nil
-		case errors.Is(err, platform.ErrConflict):
-			accepted, settleErr := s.Store.Settle(ctx, edit)
-			if settleErr == nil && accepted {
-				return nil
-			}
-			if settleErr == nil {
-				return s.conflict(ctx, state.Head.Revision, nil)
-			}
-			lost = settleErr
-		case platform.Unavailable.Has(err):
-			lost = err
+	call := machine.Start()
+	for call != edit.Done {
+		if call == edit.PauseThenSettle || call == edit.PauseThenCommit {
+			time.Sleep(settlePause)
+		}
+		var reply edit.Reply
+		var err error
+		switch call {
+		case edit.Commit, edit.PauseThenCommit:
+			reply, err = commitReply(s.Store.Commit(ctx, state, next, change))
+			call = machine.Committed(reply)
 		default:
+			reply, err = settleReply(s.Store.Settle(ctx, change))
+			call = machine.Settled(reply)
+		}
+		if err != nil && reply != edit.Lost {
 			return err
 		}
-		time.Sleep(settlePause)
-	}
-	if accepted, err := s.Store.Settle(ctx, edit); err == nil {
-		if accepted {
-			return nil
+		if err != nil {
+			lost = err
 		}
-		return fmt.Errorf("the edit was not accepted: %w", lost)
 	}
-	return fmt.Errorf("it is not known whether edit %s was accepted; see history: %w", edit.EditID, lost)
+	switch machine.Result {
+	case edit.Conflict:
+		return s.conflict(ctx, state.Head.Revision, nil)
+	case edit.Unknown:
+		return fmt.Errorf("it is not known whether edit %s was accepted; see history: %w", change.EditID, lost)
+	}
+	return nil
+}
+
+func commitReply(err error) (edit.Reply, error) {
+	switch {
+	case err == nil:
+		return edit.Yes, nil
+	case errors.Is(err, platform.ErrConflict):
+		return edit.No, nil
+	case platform.Unavailable.Has(err):
+		return edit.Lost, err
+	}
+	return edit.No, err
+}
+
+func settleReply(accepted bool, err error) (edit.Reply, error) {
+	switch {
+	case err != nil:
+		return edit.Lost, err
+	case accepted:
+		return edit.Yes, nil
+	}
+	return edit.No, nil
 }
 
 // conflict describes what happened since base.
