Remember answered requests, copy records both ways in a pair, settle proposals once

Answered requests are now remembered for the request lifetime, at most 32 a flow; beyond that the owner no longer refuses in that flow.

--- a/internal/balancer/answer.go
+++ b/internal/balancer/answer.go
@@ -67,7 +67,11 @@
 	c.confirm(x, f, exchange)
 	source.inFlight.Add(-1)
 	source.sample(x.now - exchange.Started)
-	f.Remove(exchange.MessageID)
+	if c.config.Mechanisms.NoAnswerMemory || exchange.Continues {
+		f.Remove(exchange.MessageID)
+		return
+	}
+	f.Answer(exchange, x.now+x.service.RequestLifetime)
 }
 
 // confirm notes that the successor holds the flow: the request that was
@@ -76,6 +80,7 @@
 	if exchange.Replica == 0 || exchange.Replica != x.pair.Successor {
 		return
 	}
+	exchange.Proposed = false
 	f.Verified = true
 	f.Replica = exchange.Replica
 	f.ReplicatedAt = x.now
@@ -229,6 +234,7 @@
 		f.Backend = target.id
 	}
 	f.Verified = true
+	f.Replica = x.pair.Owner
 	f.LastSeen = x.now
 	mergeRefusals(f, relay.Refusals, x.now)
 	switch {
@@ -301,8 +307,9 @@
 		c.markAmbiguous(x, f)
 		return
 	}
-	// What was noted for this request was only a proposal.
-	c.forget(f, x.packet.MessageID)
+	if exchange := f.Find(x.packet.MessageID); exchange != nil && exchange.Proposed {
+		c.forget(f, x.packet.MessageID)
+	}
 	if target := c.registry.at(relay.Backend); target != nil {
 		c.pin(f, target)
 	}
--- a/internal/balancer/caller.go
+++ b/internal/balancer/caller.go
@@ -100,21 +100,16 @@
 func (c *Core) repeatRequest(x *exchangeContext, f *flow.Flow, exchange *flow.Exchange) {
 	switch exchange.State {
 	case flow.Refused:
-		if c.config.Mechanisms.NoRefusalRecord {
-			f.Remove(exchange.MessageID)
-			c.ownRequest(x, f)
-			return
-		}
 		c.sendRefusal(x, f, exchange.Kind)
 	case flow.GivenUp:
 		c.answer(x.packet, errkind.OutcomeUnknown, x.service.RefusalRetry, x.effects)
-	case flow.InFlight:
+	case flow.InFlight, flow.Answered:
 		target := c.registry.get(f.Backend)
-		if !c.config.Mechanisms.NoRetryBudget && !target.mayRetry(x.service.RetryBudget) {
+		if target == nil || !c.config.Mechanisms.NoRetryBudget && !target.mayRetry(x.service.RetryBudget) {
 			c.drop(errkind.RetryBudgetSpent)
 			return
 		}
-		c.forwardPinned(x, f, exchange.Replica != 0)
+		c.forwardPinned(x, f, exchange.State == flow.InFlight && exchange.Replica != 0)
 	}
 }
 
@@ -158,6 +153,7 @@
 		Token:       x.packet.Token,
 		State:       flow.InFlight,
 		Confirmable: x.packet.Confirmable,
+		Continues:   x.packet.Continues,
 		Started:     x.now,
 		Until:       until,
 	}
@@ -215,10 +211,9 @@
 		Refusals:   refusalsOf(f, x.now),
 		Packet:     x.packet,
 	}
-	if kind == errkind.None {
-		c.beginOnce(x, f, true)
-	} else {
-		c.recordRefusal(x, f, kind)
+	if f.Find(x.packet.MessageID) == nil {
+		c.note(x, f, kind)
+		f.Find(x.packet.MessageID).Proposed = true
 	}
 	c.relay(x.pair.Successor, relay, x.effects)
 }
@@ -238,6 +233,15 @@
 	return c.place(x, f)
 }
 
+// note records a request as refused, or as in flight through the successor.
+func (c *Core) note(x *exchangeContext, f *flow.Flow, kind errkind.Kind) {
+	if kind != errkind.None {
+		c.recordRefusal(x, f, kind)
+		return
+	}
+	c.begin(x, f, true)
+}
+
 // beginOnce records the request unless an earlier copy did.
 func (c *Core) beginOnce(x *exchangeContext, f *flow.Flow, replicated bool) {
 	if f.Find(x.packet.MessageID) == nil {
@@ -283,6 +287,10 @@
 		return
 	}
 	c.release(f)
+	if f.Backend != target.id {
+		// No peer holds the new pin.
+		f.Replica = 0
+	}
 	f.Backend = target.id
 	f.Owner = true
 	target.flowCount(f.Key.Service).Add(1)
@@ -352,7 +360,7 @@
 }
 
 func (c *Core) recordRefusal(x *exchangeContext, f *flow.Flow, kind errkind.Kind) {
-	if c.config.Mechanisms.NoRefusalRecord || f.Find(x.packet.MessageID) != nil {
+	if f.Find(x.packet.MessageID) != nil {
 		return
 	}
 	f.Exchanges = append(f.Exchanges, flow.Exchange{
@@ -365,6 +373,9 @@
 }
 
 func (c *Core) sendRefusal(x *exchangeContext, f *flow.Flow, kind errkind.Kind) {
+	if c.config.Mechanisms.NoRefusalRecord {
+		f.Remove(x.packet.MessageID)
+	}
 	if x.pair.Successor == 0 || c.config.Strategy != Replicated || c.config.Mechanisms.NoRefusalRecord {
 		c.answer(x.packet, kind, x.service.RefusalRetry, x.effects)
 		return
--- a/internal/balancer/copy.go
+++ b/internal/balancer/copy.go
@@ -16,15 +16,16 @@
 	copyQueue = 4096
 )
 
-// copyTarget is one flow and the successor that lacks it.
+// copyTarget is one flow and the node that lacks it.
 type copyTarget struct {
 	key  flow.Key
 	hash uint64
 	to   membership.ID
 }
 
-// copier takes flows to their successors that no datagram has taken there: the
-// flows at rest. It sends one batch at a time and waits for its acknowledgement.
+// copier takes flows to the other node of their pair that no datagram has taken
+// there: the flows at rest. It sends one batch at a time and waits for its
+// acknowledgement.
 type copier struct {
 	cursor   int
 	queue    []copyTarget
@@ -33,14 +34,17 @@
 	sentAt   time.Duration
 	// missing marks partitions in which the present walk found a flow to copy.
 	missing [membership.PartitionCount]bool
-	// granted names the successor that holds everything of a partition.
+	// granted names the partner that holds everything of a partition.
 	granted [membership.PartitionCount]membership.ID
 	// interrupted is set when the view changed during the present walk.
 	interrupted bool
-	walks       int
+	// walks counts uninterrupted walks since the last change of view.
+	walks int
+	// ungranted is set when the last walk found a partition to grant.
+	ungranted bool
 }
 
-// want notes that the successor lacks the flow.
+// want notes that a node lacks the flow.
 func (p *copier) want(to membership.ID, f *flow.Flow) {
 	p.missing[membership.PartitionOf(f.Hash)] = true
 	if len(p.queue) < copyQueue {
@@ -102,7 +106,7 @@
 	p.sentAt = now
 }
 
-// recordOf returns a flow as its successor must hold it, unless it has it by now.
+// recordOf returns a flow as the other node must hold it, unless it has it by now.
 func (c *Core) recordOf(now time.Duration, target copyTarget) (Record, bool) {
 	shard := c.flows.ShardOf(target.hash)
 	shard.Lock()
@@ -119,7 +123,7 @@
 	}, true
 }
 
-// copyDone notes that the successor holds the last batch.
+// copyDone notes that the other node holds the last batch.
 func (c *Core) copyDone(now time.Duration, sequence uint32) {
 	p := &c.copier
 	if sequence != p.sequence {
@@ -137,7 +141,7 @@
 	p.sent = nil
 }
 
-// receiveCopy stores flows as their successor.
+// receiveCopy stores flows of the pair's other node.
 func (c *Core) receiveCopy(now time.Duration, from membership.ID, message *Copy, effects *Effects) {
 	for _, record := range message.Records {
 		c.storeRecord(now, from, record)
@@ -151,7 +155,8 @@
 func (c *Core) storeRecord(now time.Duration, from membership.ID, record Record) {
 	key := flow.Key{Caller: record.Caller, Service: record.Service}
 	hash := key.Hash()
-	if c.view.PairOf(hash).Owner != from {
+	pair := c.view.PairOf(hash)
+	if pair.Partner(c.self) != from {
 		return
 	}
 	shard := c.flows.ShardOf(hash)
@@ -159,19 +164,30 @@
 	defer shard.Unlock()
 	f := shard.Flows[key]
 	if f == nil {
-		f = &flow.Flow{Key: key, Hash: hash}
+		f = &flow.Flow{Key: key, Hash: hash, LastSeen: now}
 		shard.Add(f)
 	}
-	if target := c.registry.at(record.Backend); target != nil {
-		f.Backend = target.id
+	mergeRefusals(f, record.Refusals, now)
+	target := c.registry.at(record.Backend)
+	switch {
+	case pair.Owner == from:
+		// The owner's word counts over what this node holds.
+		f.Backend = 0
+		if target != nil {
+			f.Backend = target.id
+		}
+	case f.Verified:
+		return
+	case target != nil:
+		c.pin(f, target)
 	}
 	f.Verified = true
-	f.LastSeen = now
-	mergeRefusals(f, record.Refusals, now)
+	f.Replica = from
+	f.ReplicatedAt = now
 }
 
 // finishWalk ends one walk through the table. A partition in which nothing was
-// missing, while this node can vouch for it, is granted to its successor.
+// missing, while this node can vouch for it, is granted to the pair's other node.
 func (c *Core) finishWalk(now time.Duration, effects *Effects) {
 	p := &c.copier
 	if !p.interrupted {
@@ -185,18 +201,23 @@
 func (c *Core) grantComplete(now time.Duration, effects *Effects) {
 	p := &c.copier
 	grants := map[membership.ID][]byte{}
+	p.ungranted = false
 	for partition := range p.missing {
-		pair := c.view.PairAt(partition)
-		if pair.Owner != c.self || pair.Successor == 0 || p.missing[partition] || p.granted[partition] == pair.Successor {
+		partner := c.view.PairAt(partition).Partner(c.self)
+		if partner == 0 || p.granted[partition] == partner {
 			continue
 		}
 		if !c.quorum || !c.continuity.Covers(partition, now, c.longestLifetime()) {
 			continue
 		}
-		if grants[pair.Successor] == nil {
-			grants[pair.Successor] = make([]byte, membership.PartitionCount/8)
+		p.ungranted = true
+		if p.missing[partition] {
+			continue
+		}
+		if grants[partner] == nil {
+			grants[partner] = make([]byte, membership.PartitionCount/8)
 		}
-		grants[pair.Successor][partition/8] |= 1 << (partition % 8)
+		grants[partner][partition/8] |= 1 << (partition % 8)
 	}
 	for _, member := range c.view.Members {
 		if bits := grants[member.ID]; bits != nil {
@@ -223,7 +244,7 @@
 	}
 	for partition := range membership.PartitionCount {
 		granted := grant.Partitions[partition/8]&(1<<(partition%8)) != 0
-		if granted && c.view.PairAt(partition).Owner == from {
+		if granted && c.view.PairAt(partition).Partner(c.self) == from {
 			c.continuity.Grant(partition, c.view)
 		}
 	}
--- a/internal/balancer/tick.go
+++ b/internal/balancer/tick.go
@@ -228,12 +228,9 @@
 		c.Counters.ExpiredFlows.Add(1)
 		return false
 	}
-	pair := c.view.PairOf(f.Hash)
-	if pair.Owner != c.self || pair.Successor == 0 || c.config.Strategy != Replicated {
-		return true
-	}
-	if f.Verified && f.Replica != pair.Successor {
-		c.copier.want(pair.Successor, f)
+	partner := c.view.PairOf(f.Hash).Partner(c.self)
+	if f.Verified && partner != 0 && f.Replica != partner && c.config.Strategy == Replicated {
+		c.copier.want(partner, f)
 	}
 	return true
 }
--- a/internal/balancer/types.go
+++ b/internal/balancer/types.go
@@ -177,6 +177,7 @@
 	NoSettingsGossip     bool
 	NoPlannedLeave       bool
 	NoControlBudget      bool
+	NoAnswerMemory       bool
 }
 
 // Config is what a core is made with.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -47,6 +47,9 @@
 	InFlight ExchangeState = iota
 	// Refused means that the caller was told that the request did not run.
 	Refused
+	// Answered means that a final answer passed; copies go to the back end, which
+	// answers them from memory.
+	Answered
 	// GivenUp means that the deadline passed; the caller was told that the outcome is unknown.
 	GivenUp
 )
@@ -62,6 +65,11 @@
 	// Confirmable is set while the caller repeats the request until it is
 	// acknowledged.
 	Confirmable bool
+	// Continues is set on a later block, which is never refused and so need not
+	// be remembered once it is answered.
+	Continues bool
+	// Proposed is set until the successor is known to agree with the state.
+	Proposed bool
 	// Kind is why a refused request was refused.
 	Kind errkind.Kind
 	// Started is when the first copy arrived.
@@ -122,6 +130,27 @@
 	return nil
 }
 
+// maxRemembered bounds the answered requests that a flow remembers.
+const maxRemembered = 32
+
+// Answer marks a request as answered and remembers it until the time. A flow
+// with too many of them forgets the oldest, and is then no longer complete.
+func (f *Flow) Answer(exchange *Exchange, until time.Duration) {
+	exchange.State = Answered
+	exchange.Until = until
+	if len(f.Exchanges) <= maxRemembered {
+		return
+	}
+	oldest := -1
+	for i := range f.Exchanges {
+		if f.Exchanges[i].State == Answered && (oldest < 0 || f.Exchanges[i].Until < f.Exchanges[oldest].Until) {
+			oldest = i
+		}
+	}
+	f.Complete = false
+	f.Remove(f.Exchanges[oldest].MessageID)
+}
+
 // Remove deletes the request with the message identifier.
 func (f *Flow) Remove(messageID uint16) {
 	for i := range f.Exchanges {
@@ -168,7 +197,7 @@
 	f.Exchanges = slices.DeleteFunc(f.Exchanges, func(e Exchange) bool { return e.State == InFlight })
 }
 
-// Expire forgets refusals and given-up requests whose time is over.
+// Expire forgets settled requests whose time is over.
 func (f *Flow) Expire(now time.Duration) {
 	if len(f.Exchanges) == 0 {
 		return
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -54,6 +54,17 @@
 	return id != 0 && (p.Owner == id || p.Successor == id)
 }
 
+// Partner returns the other one of the pair, or 0 when the balancer is not in it.
+func (p Pair) Partner(id ID) ID {
+	switch id {
+	case p.Owner:
+		return p.Successor
+	case p.Successor:
+		return p.Owner
+	}
+	return 0
+}
+
 // View is one set of live balancers and the pairs that follow from it. It is
 // read-only; two nodes with equal members compute equal pairs.
 type View struct {
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -152,6 +153,16 @@
 
 func (n *node) perform(effect *balancer.Effect) {
 	w := n.world
+	if p := effect.Packet; p != nil && len(p.Data) > 0 {
+		if q := w.bodyOf(p).request; q != nil {
+			q.log += fmt.Sprintf("\n   %v node%d effect%d mid%d err %v", w.now, n.address.Port(), effect.Kind, p.MessageID, effect.Error)
+		}
+	}
+	if m := effect.Message; m != nil && m.Relay != nil {
+		if q := w.bodyOf(m.Relay.Packet).request; q != nil {
+			q.log += fmt.Sprintf("\n   %v node%d relay kind%d to %d mid%d err %v backend %v refusals %v covers %v", w.now, n.address.Port(), m.Relay.Kind, effect.To.Port(), m.Relay.Packet.MessageID, m.Relay.Error, m.Relay.Backend, m.Relay.Refusals, m.Relay.HeadCovers)
+		}
+	}
 	switch effect.Kind {
 	case balancer.ForwardToBackend:
 		target := w.byAddress[effect.To]
--- a/internal/sim/observer.go
+++ b/internal/sim/observer.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -88,6 +89,7 @@
 // ran notes that a back end began to execute a request.
 func (o *observer) ran(b *backend, r *request) {
 	r.runs++
+	r.log += fmt.Sprintf("\n   %v RAN at %v", o.world.now, b.address)
 	r.ranAt = b
 	o.world.record(traceRun, uint64(b.address.Port()), uint64(r.runs))
 }
@@ -95,6 +97,7 @@
 // ended notes what a request's caller was told.
 func (o *observer) ended(r *request, how outcome) {
 	r.outcome = how
+	r.log += fmt.Sprintf("\n   %v ended %v", o.world.now, how)
 	if how == outcomeNotRun {
 		r.toldNotRun = true
 	}
--- a/internal/sim/session.go
+++ b/internal/sim/session.go
@@ -46,6 +46,7 @@
 	outcome    outcome
 	// refusedBy tells which of the two said that the request did not run.
 	toldNotRun bool
+	log        string
 }
 
 // outcome is how a request ended for its caller.
