--- a/internal/balancer/answer.go
+++ b/internal/balancer/answer.go
@@ -34,11 +34,18 @@
 	f.LastSeen = x.now
 	f.Observing = f.Observing || x.packet.Observe
 	c.complete(x, f, source)
-	if f.Verified && c.needsReplica(x, f) {
-		c.teach(x, f)
-		return
+	switch {
+	case c.config.Strategy != Replicated || x.pair.Successor == 0:
+		c.deliver(x.packet, x.effects)
+	case !f.Verified:
+		c.teach(x, f, RelayPropose)
+	case c.needsReplica(x, f):
+		c.teach(x, f, RelayTeach)
+		f.Replica = x.pair.Successor
+		f.ReplicatedAt = x.now
+	default:
+		c.deliver(x.packet, x.effects)
 	}
-	c.deliver(x.packet, x.effects)
 }
 
 // learnPin adopts the sender of an answer as the flow's back end where this
@@ -86,17 +93,16 @@
 	f.ReplicatedAt = x.now
 }
 
-// teach delivers an answer through the successor, which records the flow.
-func (c *Core) teach(x *exchangeContext, f *flow.Flow) {
+// teach delivers an answer through the successor, which records the flow, or
+// returns the answer with what it holds of a flow that is only proposed.
+func (c *Core) teach(x *exchangeContext, f *flow.Flow, kind RelayKind) {
 	relay := Relay{
-		Kind:     RelayTeach,
+		Kind:     kind,
 		Hops:     x.hops,
 		Backend:  c.addressOf(f),
 		Refusals: refusalsOf(f, x.now),
 		Packet:   x.packet,
 	}
-	f.Replica = x.pair.Successor
-	f.ReplicatedAt = x.now
 	c.relay(x.pair.Successor, relay, x.effects)
 }
 
@@ -126,6 +132,12 @@
 	if exchange == nil || exchange.State != flow.InFlight || exchange.Until > now {
 		return
 	}
+	if exchange.Proposed && !c.view.Has(exchange.Replica) {
+		// The request went through a successor that died, and may never have
+		// left it. The caller's next copy goes to the same back end.
+		c.forget(f, due.messageID)
+		return
+	}
 	exchange.State = flow.GivenUp
 	lifetime := time.Duration(0)
 	if service := c.snapshot.ServiceAt(due.key.Service); service != nil {
@@ -220,6 +232,10 @@
 	shard.Lock()
 	defer shard.Unlock()
 	f := shard.Flows[x.packet.Flow]
+	if relay.Kind == RelayPropose && x.packet.Kind >= Answer {
+		c.verify(x, f, relay)
+		return
+	}
 	if relay.Kind == RelayPropose && !c.agree(x, f, relay) {
 		return
 	}
@@ -267,11 +283,44 @@
 	if (f.Backend == 0 || held == relay.Backend) && knowsAll(relay.Refusals, f) {
 		return true
 	}
-	back := Relay{Kind: RelayAdopt, Hops: x.hops, Backend: held, Refusals: refusalsOf(f, x.now), Packet: x.packet}
-	c.relay(x.pair.Owner, back, x.effects)
+	c.returnHeld(x, f)
 	return false
 }
 
+// returnHeld sends a datagram back to the owner with what this node holds of
+// the flow. Should it be lost, the owner's next datagram asks again.
+func (c *Core) returnHeld(x *exchangeContext, f *flow.Flow) {
+	relay := Relay{
+		Kind:     RelayAdopt,
+		Hops:     x.hops,
+		Backend:  c.addressOf(f),
+		Refusals: refusalsOf(f, x.now),
+		Packet:   x.packet,
+	}
+	f.Replica = x.pair.Owner
+	c.relay(x.pair.Owner, relay, x.effects)
+}
+
+// verify handles, as the successor, an answer whose flow the owner knows from
+// that answer alone. Where this node knows the flow, or knows that nobody can
+// know more, the owner gets the answer back with that knowledge.
+func (c *Core) verify(x *exchangeContext, f *flow.Flow, relay *Relay) {
+	if f == nil && !c.covers(x) || f != nil && (f.AmbiguousUntil > x.now || !f.Verified) {
+		c.deliver(x.packet, x.effects)
+		return
+	}
+	if f == nil {
+		f = &flow.Flow{Key: x.packet.Flow, Hash: x.hash}
+		c.flows.ShardOf(x.hash).Add(f)
+	}
+	if target := c.registry.at(relay.Backend); target != nil && f.Backend == 0 {
+		f.Backend = target.id
+	}
+	f.Verified = true
+	f.LastSeen = x.now
+	c.returnHeld(x, f)
+}
+
 // noteAmbiguous remembers, as the successor, that nobody can say whether the
 // flow's requests ran. The shard is locked.
 func (c *Core) noteAmbiguous(x *exchangeContext) {
@@ -320,5 +369,9 @@
 	f.LastSeen = x.now
 	mergeRefusals(f, relay.Refusals, x.now)
 	c.Counters.Adopted.Add(1)
+	if x.packet.Kind >= Answer {
+		c.deliver(x.packet, x.effects)
+		return
+	}
 	c.ownRequest(x, f)
 }
--- a/internal/balancer/caller.go
+++ b/internal/balancer/caller.go
@@ -197,7 +197,8 @@
 // datagram on itself. So no new flow takes effect on one node's word alone.
 func (c *Core) propose(x *exchangeContext, f *flow.Flow) {
 	kind := c.proposal(x, f)
-	covers := c.covers(x)
+	// What this node knows of a flow from an answer alone may lack refusals.
+	covers := f.Complete && c.covers(x)
 	if x.pair.Successor == 0 || c.config.Strategy != Replicated {
 		c.decideAlone(x, f, kind, covers)
 		return
--- a/internal/balancer/copy.go
+++ b/internal/balancer/copy.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"gaugeyard/internal/flow"
@@ -9,7 +11,7 @@
 
 const (
 	// copyBatch is how many flows one Copy carries.
-	copyBatch = 16
+	copyBatch = 48
 	// copyWait is how long an acknowledgement is waited for.
 	copyWait = 500 * time.Millisecond
 	// copyQueue bounds the flows remembered for copying; a walk finds the rest again.
@@ -47,14 +49,15 @@
 // want notes that a node lacks the flow.
 func (p *copier) want(to membership.ID, f *flow.Flow) {
 	p.missing[membership.PartitionOf(f.Hash)] = true
-	if len(p.queue) < copyQueue {
+	if f.Queued != to && len(p.queue) < copyQueue {
+		f.Queued = to
 		p.queue = append(p.queue, copyTarget{f.Key, f.Hash, to})
 	}
 }
 
 // viewChanged forgets what was planned and granted for pairs that changed.
 func (p *copier) viewChanged(previous, next *membership.View) {
-	p.queue = nil
+	p.queue = p.queue[:0]
 	p.sent = nil
 	p.interrupted = true
 	p.walks = 0
@@ -71,10 +74,8 @@
 	if len(p.sent) > 0 && now-p.sentAt < copyWait || c.config.Mechanisms.NoBackgroundCopy {
 		return
 	}
-	if len(p.sent) > 0 {
-		p.queue = append(p.sent, p.queue...)
-		p.sent = nil
-	}
+	// What was not acknowledged is found again by the next walk.
+	p.sent = nil
 	if len(p.queue) == 0 {
 		return
 	}
@@ -83,21 +84,21 @@
 	var records []Record
 	var sent, rest []copyTarget
 	for _, target := range p.queue {
-		if target.to != to || len(records) >= copyBatch {
+		if target.to != to || len(sent) >= copyBatch {
 			rest = append(rest, target)
 			continue
 		}
-		if record, needed := c.recordOf(now, target); needed {
-			records = append(records, record)
+		if c.addRecord(now, target, &records) {
 			sent = append(sent, target)
 		}
 	}
-	if !live || len(records) == 0 {
+	if !live || len(sent) == 0 {
 		p.queue = rest
 		return
 	}
 	message := &Message{From: c.self, Copy: &Copy{Sequence: p.sequence + 1, Records: records}}
 	if !c.sendControl(now, member.Address, message, bulk, effects) {
+		p.queue = append(sent, rest...)
 		return
 	}
 	p.sequence++
@@ -106,21 +107,31 @@
 	p.sentAt = now
 }
 
-// recordOf returns a flow as the other node must hold it, unless it has it by now.
-func (c *Core) recordOf(now time.Duration, target copyTarget) (Record, bool) {
+// addRecord adds a flow to the records, unless the other node has it by now.
+func (c *Core) addRecord(now time.Duration, target copyTarget, records *[]Record) bool {
 	shard := c.flows.ShardOf(target.hash)
 	shard.Lock()
 	defer shard.Unlock()
 	f := shard.Flows[target.key]
-	if f == nil || !f.Verified || f.Replica == target.to {
-		return Record{}, false
+	if f == nil {
+		return false
+	}
+	f.Queued = 0
+	if !f.Verified || f.Replica == target.to {
+		return false
+	}
+	backend := c.addressOf(f)
+	at := slices.IndexFunc(*records, func(r Record) bool { return r.Service == f.Key.Service && r.Backend == backend })
+	if at < 0 {
+		at = len(*records)
+		*records = append(*records, Record{Service: f.Key.Service, Backend: backend})
 	}
-	return Record{
-		Caller:   f.Key.Caller,
-		Service:  f.Key.Service,
-		Backend:  c.addressOf(f),
-		Refusals: refusalsOf(f, now),
-	}, true
+	record := &(*records)[at]
+	if refusals := refusalsOf(f, now); len(refusals) > 0 {
+		record.Refused = append(record.Refused, RefusedCaller{Index: len(record.Callers), Refusals: refusals})
+	}
+	record.Callers = append(record.Callers, f.Key.Caller)
+	return true
 }
 
 // copyDone notes that the other node holds the last batch.
@@ -144,7 +155,16 @@
 // receiveCopy stores flows of the pair's other node.
 func (c *Core) receiveCopy(now time.Duration, from membership.ID, message *Copy, effects *Effects) {
 	for _, record := range message.Records {
-		c.storeRecord(now, from, record)
+		refusals := make([][]Refusal, len(record.Callers))
+		for _, refused := range record.Refused {
+			if refused.Index >= 0 && refused.Index < len(refusals) {
+				refusals[refused.Index] = refused.Refusals
+			}
+		}
+		for i, caller := range record.Callers {
+			key := flow.Key{Caller: caller, Service: record.Service}
+			c.storeRecord(now, from, key, record.Backend, refusals[i])
+		}
 	}
 	if member, live := c.view.Member(from); live {
 		done := &Message{From: c.self, CopyDone: &CopyDone{Sequence: message.Sequence}}
@@ -152,8 +172,7 @@
 	}
 }
 
-func (c *Core) storeRecord(now time.Duration, from membership.ID, record Record) {
-	key := flow.Key{Caller: record.Caller, Service: record.Service}
+func (c *Core) storeRecord(now time.Duration, from membership.ID, key flow.Key, backend netip.AddrPort, refusals []Refusal) {
 	hash := key.Hash()
 	pair := c.view.PairOf(hash)
 	if pair.Partner(c.self) != from {
@@ -167,8 +186,8 @@
 		f = &flow.Flow{Key: key, Hash: hash, LastSeen: now}
 		shard.Add(f)
 	}
-	mergeRefusals(f, record.Refusals, now)
-	target := c.registry.at(record.Backend)
+	mergeRefusals(f, refusals, now)
+	target := c.registry.at(backend)
 	switch {
 	case pair.Owner == from:
 		// The owner's word counts over what this node holds.
@@ -250,6 +269,12 @@
 	}
 }
 
+// settled tells whether the last whole walk found nothing that the other nodes
+// of this node's pairs lack.
+func (p *copier) settled(walks int) bool {
+	return p.walks >= walks && len(p.queue) == 0 && len(p.sent) == 0 && !p.ungranted
+}
+
 // longestLifetime returns the longest request lifetime of all services.
 func (c *Core) longestLifetime() time.Duration {
 	longest := time.Duration(0)
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -39,7 +39,9 @@
 
 	lastTick      atomic.Int64
 	lastHeartbeat time.Duration
-	lastRequest   time.Duration
+	// heartbeats counts the heartbeats sent to all peers.
+	heartbeats  uint64
+	lastRequest time.Duration
 	// joinAt is when this node has listened long enough to join the view.
 	joinAt time.Duration
 	// ticked is set once the first tick has passed.
--- a/internal/balancer/leave.go
+++ b/internal/balancer/leave.go
@@ -69,9 +69,7 @@
 
 // copied tells whether every flow that this node owns is at its successor.
 func (c *Core) copied() bool {
-	p := &c.copier
-	settled := p.walks >= copiedBeforeRest && len(p.queue) == 0 && len(p.sent) == 0 && !p.ungranted
-	return len(c.view.Members) < 2 || settled
+	return len(c.view.Members) < 2 || c.copier.settled(copiedBeforeRest)
 }
 
 func (c *Core) settled(now time.Duration) bool {
--- a/internal/balancer/tick.go
+++ b/internal/balancer/tick.go
@@ -14,9 +14,12 @@
 	retryDecayInterval = time.Second
 	// settingsRequestInterval bounds how often a peer is asked for settings.
 	settingsRequestInterval = 500 * time.Millisecond
+	// joinPatience is how long a node waits to join while its peers still copy
+	// flows after an earlier change.
+	joinPatience = 30 * time.Second
 	// walkShards is how many shards of the flow table one tick looks through,
 	// so that a full walk takes ShardCount/walkShards ticks.
-	walkShards = 2
+	walkShards = 4
 	// leavingWalkShards is the same while this node leaves.
 	leavingWalkShards = 16
 	// copiedBeforeRest is how many walks a leaving node makes at least.
@@ -65,6 +68,11 @@
 	if c.detector.Joined() || c.leave.announced || now < c.joinAt || c.snapshot.Revision == 0 {
 		return
 	}
+	// At the first start of a fleet there is nothing to endanger.
+	patient := now >= c.config.BootstrapUntil && now < c.joinAt+joinPatience
+	if patient && !c.detector.AllSettled(now) {
+		return
+	}
 	c.detector.Join()
 	effects.add(Effect{Kind: StateChanged, Subject: "self", State: "joined"})
 	c.sendHeartbeats(now, effects)
@@ -176,7 +184,10 @@
 }
 
 func (c *Core) sendHeartbeats(now time.Duration, effects *Effects) {
+	c.heartbeats++
 	heartbeat := &Heartbeat{
+		Sequence: c.heartbeats,
+		Settled:  c.copier.settled(1),
 		Address:  c.config.Self.Address,
 		Zone:     c.config.Self.Zone,
 		Revision: c.snapshot.Revision,
@@ -189,7 +200,10 @@
 
 func (c *Core) handleHeartbeat(now time.Duration, from membership.ID, heartbeat *Heartbeat, effects *Effects) {
 	member := membership.Member{ID: from, Zone: heartbeat.Zone, Address: heartbeat.Address}
-	c.detector.Heard(now, member, heartbeat.Leaving)
+	report := membership.Report{Sequence: heartbeat.Sequence, Leaving: heartbeat.Leaving, Settled: heartbeat.Settled}
+	if !c.detector.Heard(now, member, report) {
+		return
+	}
 	c.refreshView(now, effects)
 	behind := heartbeat.Revision > c.snapshot.Revision && !c.config.Mechanisms.NoSettingsGossip
 	if behind && now-c.lastRequest >= settingsRequestInterval {
@@ -256,7 +270,7 @@
 
 const (
 	budgetSlot    = 100 * time.Millisecond
-	bulkPart      = 0.6
+	bulkPart      = 0.8
 	essentialPart = 1.0
 )
 
--- a/internal/balancer/types.go
+++ b/internal/balancer/types.go
@@ -277,6 +277,12 @@
 	Zone     string         `msgpack:"z"`
 	Revision uint64         `msgpack:"r"`
 	Leaving  bool           `msgpack:"l"`
+	// Settled is set when the sender's pairs hold everything twice, so that a
+	// join or leave endangers nothing.
+	Settled bool `msgpack:"s"`
+	// Sequence numbers the heartbeats of one run of a process, because datagrams
+	// overtake each other.
+	Sequence uint64 `msgpack:"n"`
 }
 
 // SettingsRequest asks a peer for the changes since a revision.
@@ -297,14 +303,25 @@
 	Changes  []settings.Change `msgpack:"c"`
 }
 
-// Record is one flow on its way to a successor.
+// Record is a group of flows of one service at one back end, on their way to
+// the other node of their pair. Grouping takes 8 bytes a flow in place of 26.
 type Record struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Caller   netip.AddrPort `msgpack:"c"`
-	Service  netip.AddrPort `msgpack:"s"`
-	Backend  netip.AddrPort `msgpack:"b"`
-	Refusals []Refusal      `msgpack:"x,omitempty"`
+	Service netip.AddrPort `msgpack:"s"`
+	// Backend is the zero value for flows whose requests were all refused.
+	Backend netip.AddrPort   `msgpack:"b"`
+	Callers []netip.AddrPort `msgpack:"c"`
+	Refused []RefusedCaller  `msgpack:"x"`
+}
+
+// RefusedCaller has the refusals of one flow of a record.
+type RefusedCaller struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Index is the flow's place in Callers.
+	Index    int       `msgpack:"i"`
+	Refusals []Refusal `msgpack:"r"`
 }
 
 // Copy carries flows that no datagram has taken to the successor yet.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -93,6 +93,8 @@
 	Observing bool
 	// Replica is the node known to hold a copy, 0 for none.
 	Replica uint32
+	// Queued is the node that the flow waits to be copied to, 0 for none.
+	Queued uint32
 	// ReplicatedAt is when Replica last got a copy.
 	ReplicatedAt time.Duration
 	// Complete is set when this node has seen every request of the flow.
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -22,9 +22,19 @@
 type peer struct {
 	// Member has the zero ID until the first heartbeat.
 	Member
-	heard   time.Duration
-	listed  bool
-	leaving bool
+	heard  time.Duration
+	listed bool
+	Report
+}
+
+// Report is what a peer says of itself in a heartbeat.
+type Report struct {
+	// Sequence numbers the heartbeats of one run of the peer.
+	Sequence uint64
+	// Leaving is set while the peer is not, or no longer, part of the view.
+	Leaving bool
+	// Settled is set when everything that the peer holds is held twice.
+	Settled bool
 }
 
 func (p *peer) alive(now time.Duration) bool {
@@ -65,15 +75,20 @@
 }
 
 // Heard records a heartbeat. A new identifier at a known address is a process
-// that was started again and has lost what its predecessor knew.
-func (d *Detector) Heard(now time.Duration, member Member, leaving bool) {
+// that was started again and has lost what its predecessor knew. Heard returns
+// false for a heartbeat that a newer one has overtaken, which changes nothing.
+func (d *Detector) Heard(now time.Duration, member Member, report Report) bool {
 	if member.Address == d.self.Address {
-		return
+		return false
 	}
 	p := d.at(member.Address)
+	if p.ID == member.ID && report.Sequence <= p.Sequence {
+		return false
+	}
 	p.Member = member
+	p.Report = report
 	p.heard = now
-	p.leaving = leaving
+	return true
 }
 
 // Listed replaces what the machine list says. The list lags: it only adds
@@ -122,7 +137,7 @@
 		members = append(members, d.self)
 	}
 	for _, p := range d.peers {
-		if p.alive(now) && !p.leaving {
+		if p.alive(now) && !p.Leaving {
 			members = append(members, p.Member)
 		}
 	}
@@ -135,7 +150,7 @@
 func (d *Detector) Quorum(now time.Duration) bool {
 	known, heard := 1, 1
 	for _, p := range d.peers {
-		if p.leaving {
+		if p.Leaving {
 			continue
 		}
 		known++
@@ -146,6 +161,16 @@
 	return 2*heard > known
 }
 
+// AllSettled tells whether every live member of the view is settled.
+func (d *Detector) AllSettled(now time.Duration) bool {
+	for _, p := range d.peers {
+		if p.alive(now) && !p.Leaving && !p.Settled {
+			return false
+		}
+	}
+	return true
+}
+
 // Overdue tells whether the peer's last heartbeat is late, before it counts as dead.
 func (d *Detector) Overdue(id ID, now time.Duration) bool {
 	p := d.find(id)
--- a/internal/sim/debug_test.go
+++ b/internal/sim/debug_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"gaugeyard/internal/membership"
+	"os"
 	"testing"
+	"time"
 )
 
 func TestDebug(t *testing.T) {
 	d, _ := NewDeployment("litera")
-	s, _ := ScenarioNamed("late-reordered-duplicated")
+	s, _ := ScenarioNamed(os.Getenv("SC"))
 	o := Options{Deployment: d, Scenario: s, Seed: 1}
 	w := newWorld(o)
 	w.build()
@@ -22,10 +25,22 @@
 	})
 	w.at(trafficStart, w.startTraffic)
 	s.events(w)
+	if os.Getenv("PART") != "" {
+		p := 0
+		fmt.Sscan(os.Getenv("PART"), &p)
+		w.every(500*time.Millisecond, func() {
+			for _, n := range w.nodes {
+				if n.up {
+					x := n.core.DebugPartition(p, w.now-n.started)
+					fmt.Println("PP", w.now, n.address.Port(), x)
+				}
+			}
+		})
+	}
 	w.runUntil(s.Length)
 	for i, r := range w.truth.requests {
-		if r.toldNotRun && r.runs > 0 {
-			fmt.Println(i, r.kind, "sent", r.sent, "runs", r.runs, "ranAt", r.ranAt.address, r.log)
+		if os.Getenv("W") == "u" && r.outcome == outcomeUnknown || r.toldNotRun && r.runs > 0 || r.runs > 1 {
+			fmt.Println(i, membership.PartitionOf(r.hash), r.kind, "sent", r.sent, "runs", r.runs, "ranAt", r.ranAt != nil, r.log)
 		}
 	}
 }
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
 	"time"
 
 	"gaugeyard/internal/balancer"
@@ -163,6 +164,9 @@
 			q.log += fmt.Sprintf("\n   %v node%d relay kind%d to %d mid%d err %v backend %v refusals %v covers %v", w.now, n.address.Port(), m.Relay.Kind, effect.To.Port(), m.Relay.Packet.MessageID, m.Relay.Error, m.Relay.Backend, m.Relay.Refusals, m.Relay.HeadCovers)
 		}
 	}
+	if effect.Kind == balancer.StateChanged && os.Getenv("ST") != "" {
+		fmt.Println("ST", w.now, n.address.Port(), effect.Subject, effect.State)
+	}
 	switch effect.Kind {
 	case balancer.ForwardToBackend:
 		target := w.byAddress[effect.To]
