--- a/internal/balancer/answer.go
+++ b/internal/balancer/answer.go
@@ -271,6 +271,10 @@
 		c.relay(x.pair.Owner, Relay{Kind: RelayAmbiguous, Hops: x.hops, Packet: x.packet}, x.effects)
 		return false
 	}
+	if f == nil && c.undecided(x) {
+		c.drop(errkind.Undecided)
+		return false
+	}
 	if f == nil {
 		if relay.HeadCovers || x.service.Repeatable || c.covers(x) {
 			return true
--- a/internal/balancer/caller.go
+++ b/internal/balancer/caller.go
@@ -196,6 +196,10 @@
 // last word: it returns the pin it holds, or records the proposal and sends the
 // datagram on itself. So no new flow takes effect on one node's word alone.
 func (c *Core) propose(x *exchangeContext, f *flow.Flow) {
+	if c.undecided(x) {
+		c.drop(errkind.Undecided)
+		return
+	}
 	kind := c.proposal(x, f)
 	// What this node knows of a flow from an answer alone may lack refusals.
 	covers := f.Complete && c.covers(x)
@@ -219,6 +223,13 @@
 	c.relay(x.pair.Successor, relay, x.effects)
 }
 
+// undecided tells whether the pair is so new that its members may not agree on
+// it yet. A request that may not run twice then waits for its next copy.
+func (c *Core) undecided(x *exchangeContext) bool {
+	settled := c.continuity.Settled(membership.PartitionOf(x.hash), x.now)
+	return !settled && !x.service.Repeatable && !c.config.Mechanisms.NoContinuity && c.config.Strategy == Replicated
+}
+
 // proposal returns the refusal that an earlier copy of the request met, or
 // makes sure that the flow has a pin.
 func (c *Core) proposal(x *exchangeContext, f *flow.Flow) errkind.Kind {
--- a/internal/balancer/copy.go
+++ b/internal/balancer/copy.go
@@ -68,6 +68,17 @@
 	}
 }
 
+// forget drops what was granted to a peer.
+func (p *copier) forget(peer membership.ID) {
+	p.interrupted = true
+	p.walks = 0
+	for partition := range p.granted {
+		if p.granted[partition] == peer {
+			p.granted[partition] = 0
+		}
+	}
+}
+
 // sendCopy sends the next batch when the last one is settled.
 func (c *Core) sendCopy(now time.Duration, effects *Effects) {
 	p := &c.copier
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -23,9 +23,11 @@
 	view       *membership.View
 	continuity *membership.Continuity
 	quorum     bool
-	snapshot   *settings.Snapshot
-	history    []*settings.Snapshot
-	assembly   assembly
+	// quorumSince is when a majority was first heard, 0 while there is none.
+	quorumSince time.Duration
+	snapshot    *settings.Snapshot
+	history     []*settings.Snapshot
+	assembly    assembly
 	// settingsQueue holds parts of settings that wait for the byte budget.
 	settingsQueue []queuedPart
 	ramps         map[settings.BackendID]time.Duration
@@ -42,6 +44,9 @@
 	// heartbeats counts the heartbeats sent to all peers.
 	heartbeats  uint64
 	lastRequest time.Duration
+	// breaks counts how often this node has stopped to vouch for its records.
+	breaks    uint32
+	lastBreak time.Duration
 	// joinAt is when this node has listened long enough to join the view.
 	joinAt time.Duration
 	// ticked is set once the first tick has passed.
--- a/internal/balancer/tick.go
+++ b/internal/balancer/tick.go
@@ -14,6 +14,8 @@
 	retryDecayInterval = time.Second
 	// settingsRequestInterval bounds how often a peer is asked for settings.
 	settingsRequestInterval = 500 * time.Millisecond
+	// quorumSettle is how long a majority must be heard before this node decides.
+	quorumSettle = 1 * time.Second
 	// joinPatience is how long a node waits to join while its peers still copy
 	// flows after an earlier change.
 	joinPatience = 30 * time.Second
@@ -96,29 +98,68 @@
 	c.detector.Resume(last, now)
 	c.detector.Withdraw()
 	c.joinAt = now + membership.DeadAfter
-	c.continuity.Break(now, c.view)
-	c.distrust()
+	c.stopVouching(now)
 	effects.add(Effect{Kind: StateChanged, Subject: "self", State: "resumed after a pause"})
 	c.refreshView(now, effects)
 }
 
+// stopVouching forgets since when this node holds every record, because others
+// may have decided without it.
+func (c *Core) stopVouching(now time.Duration) {
+	c.breaks++
+	c.lastBreak = now
+	c.continuity.Break(now, c.view)
+	c.distrust()
+}
+
+// recopy forgets what a peer was known to hold, for one that no longer vouches
+// for it.
+func (c *Core) recopy(peer membership.ID) {
+	c.copier.forget(peer)
+	c.eachFlow(func(f *flow.Flow) {
+		if f.Replica == peer {
+			f.Replica = 0
+		}
+	})
+}
+
 // distrust marks every flow as not vouched for.
 func (c *Core) distrust() {
+	c.eachFlow(func(f *flow.Flow) {
+		f.Verified = false
+		f.Complete = false
+	})
+}
+
+// eachFlow calls visit for every flow, under the lock of its shard.
+func (c *Core) eachFlow(visit func(f *flow.Flow)) {
 	for i := range c.flows.Shards {
 		shard := &c.flows.Shards[i]
 		shard.Lock()
 		shard.Walk(func(f *flow.Flow) bool {
-			f.Verified = false
-			f.Complete = false
+			visit(f)
 			return true
 		})
 		shard.Unlock()
 	}
 }
 
+// stableQuorum tells whether this node has heard a majority for so long that it
+// has heard all who can be heard, so that none of them is taken for gone.
+func (c *Core) stableQuorum(now time.Duration) bool {
+	if !c.detector.Quorum(now) {
+		c.quorumSince = 0
+		return false
+	}
+	if c.quorumSince == 0 {
+		c.quorumSince = now
+	}
+	return now-c.quorumSince >= quorumSettle
+}
+
 // refreshView computes the live members and, when they changed, the new pairs.
 func (c *Core) refreshView(now time.Duration, effects *Effects) {
-	quorum := c.detector.Quorum(now)
+	quorum := c.stableQuorum(now)
 	if quorum != c.quorum {
 		c.quorum = quorum
 		state := "hears a majority"
@@ -126,10 +167,9 @@
 			state = "hears no majority"
 		}
 		effects.add(Effect{Kind: StateChanged, Subject: "membership", State: state})
-		if quorum && !c.config.Mechanisms.NoContinuity {
-			c.continuity.Break(now, c.view)
-			c.distrust()
-		}
+	}
+	if quorum && c.detector.Joined() {
+		c.detector.GoOn(now)
 	}
 	live := c.detector.Live(now)
 	if slices.Equal(live, c.view.Members) {
@@ -149,22 +189,10 @@
 	c.view = membership.NewView(live, !c.config.Mechanisms.NoZoneAwareSuccessor)
 	c.continuity.Change(now, c.view)
 	c.copier.viewChanged(previous, c.view)
-	c.recount()
-}
-
-// recount brings flow ownership in line with a new view.
-func (c *Core) recount() {
-	for i := range c.flows.Shards {
-		shard := &c.flows.Shards[i]
-		shard.Lock()
-		shard.Walk(func(f *flow.Flow) bool {
-			c.recountFlow(f)
-			return true
-		})
-		shard.Unlock()
-	}
+	c.eachFlow(c.recountFlow)
 }
 
+// recountFlow brings a flow's ownership in line with a new view.
 func (c *Core) recountFlow(f *flow.Flow) {
 	pair := c.view.PairOf(f.Hash)
 	if pair.Owner != c.self {
@@ -185,25 +213,40 @@
 
 func (c *Core) sendHeartbeats(now time.Duration, effects *Effects) {
 	c.heartbeats++
-	heartbeat := &Heartbeat{
-		Sequence: c.heartbeats,
-		Settled:  c.copier.settled(1),
-		Address:  c.config.Self.Address,
-		Zone:     c.config.Self.Zone,
-		Revision: c.snapshot.Revision,
-		Leaving:  !c.detector.Joined(),
-	}
-	for _, address := range c.detector.Addresses() {
-		c.sendControl(now, address, &Message{From: c.self, Heartbeat: heartbeat}, essential, effects)
+	for _, target := range c.detector.Targets() {
+		heartbeat := &Heartbeat{
+			Address:  c.config.Self.Address,
+			Zone:     c.config.Self.Zone,
+			Revision: c.snapshot.Revision,
+			Leaving:  !c.detector.Joined(),
+			Settled:  c.copier.settled(1),
+			GoneOn:   target.GoneOn,
+			Breaks:   c.breaks,
+			Sequence: c.heartbeats,
+		}
+		c.sendControl(now, target.Address, &Message{From: c.self, Heartbeat: heartbeat}, essential, effects)
 	}
 }
 
 func (c *Core) handleHeartbeat(now time.Duration, from membership.ID, heartbeat *Heartbeat, effects *Effects) {
 	member := membership.Member{ID: from, Zone: heartbeat.Zone, Address: heartbeat.Address}
-	report := membership.Report{Sequence: heartbeat.Sequence, Leaving: heartbeat.Leaving, Settled: heartbeat.Settled}
-	if !c.detector.Heard(now, member, report) {
+	report := membership.Report{
+		Sequence: heartbeat.Sequence,
+		Leaving:  heartbeat.Leaving,
+		Settled:  heartbeat.Settled,
+		Breaks:   heartbeat.Breaks,
+	}
+	fresh, broke := c.detector.Heard(now, member, report)
+	if !fresh {
 		return
 	}
+	if broke {
+		c.recopy(from)
+	}
+	if heartbeat.GoneOn && !c.config.Mechanisms.NoContinuity && now-c.lastBreak > membership.HeartbeatInterval {
+		c.stopVouching(now)
+		effects.add(Effect{Kind: StateChanged, Subject: heartbeat.Address.String(), State: "went on without this node"})
+	}
 	c.refreshView(now, effects)
 	behind := heartbeat.Revision > c.snapshot.Revision && !c.config.Mechanisms.NoSettingsGossip
 	if behind && now-c.lastRequest >= settingsRequestInterval {
--- a/internal/balancer/types.go
+++ b/internal/balancer/types.go
@@ -280,6 +280,11 @@
 	// Settled is set when the sender's pairs hold everything twice, so that a
 	// join or leave endangers nothing.
 	Settled bool `msgpack:"s"`
+	// GoneOn tells the receiver that the sender decided without it, so that the
+	// receiver must stop to vouch for its records; Breaks counts how often the
+	// sender has done so.
+	GoneOn bool   `msgpack:"g"`
+	Breaks uint32 `msgpack:"b"`
 	// Sequence numbers the heartbeats of one run of a process, because datagrams
 	// overtake each other.
 	Sequence uint64 `msgpack:"n"`
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -40,6 +40,9 @@
 	DeadlineExceeded
 	// NoOwner means that no balancer could be found to own the flow within the hop limit.
 	NoOwner
+	// Undecided means that the balancers do not agree yet on who owns the flow;
+	// the request's next copy is handled.
+	Undecided
 
 	kindCount
 )
@@ -87,6 +90,7 @@
 	RetryBudgetSpent: {"retry_budget_spent", codes.Empty, RanNotTold, false},
 	OutcomeUnknown:   {"outcome_unknown", codes.GatewayTimeout, RanUnknown, true},
 	DeadlineExceeded: {"deadline_exceeded", codes.GatewayTimeout, RanUnknown, false},
+	Undecided:        {"undecided", codes.Empty, RanNotTold, false},
 	NoOwner:          {"no_owner", codes.Empty, RanNotTold, false},
 }
 
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -13,6 +13,9 @@
 	// DeadAfter is the silence after which a peer leaves the view. A node that
 	// starts, or resumes after a pause, listens this long before it joins.
 	DeadAfter = 1500 * time.Millisecond
+	// ViewSettle is how long a change of view must stand before decisions follow
+	// from it. Members that fall silent together are noticed within it.
+	ViewSettle = HeartbeatInterval + HeartbeatInterval/2
 	// ForgetAfter is the silence after which a peer that the machine list does
 	// not name no longer counts towards the quorum.
 	ForgetAfter = 10 * time.Second
@@ -25,6 +28,10 @@
 	heard  time.Duration
 	listed bool
 	Report
+	// goneOn is set when this node decided without the peer, which has not yet
+	// confirmed that it knows; breaksThen is the peer's count of breaks then.
+	goneOn     bool
+	breaksThen uint32
 }
 
 // Report is what a peer says of itself in a heartbeat.
@@ -35,6 +42,8 @@
 	Leaving bool
 	// Settled is set when everything that the peer holds is held twice.
 	Settled bool
+	// Breaks counts how often the peer has stopped to vouch for its records.
+	Breaks uint32
 }
 
 func (p *peer) alive(now time.Duration) bool {
@@ -48,11 +57,13 @@
 	peers []*peer
 	// absent keeps this node out of the view that it computes.
 	absent bool
+	// forgotten has the breaksThen of peers that were dropped while goneOn.
+	forgotten map[ID]uint32
 }
 
 // NewDetector returns a detector for the node, which is not yet in its own view.
 func NewDetector(self Member) *Detector {
-	return &Detector{self: self, absent: true}
+	return &Detector{self: self, absent: true, forgotten: map[ID]uint32{}}
 }
 
 func (d *Detector) find(id ID) *peer {
@@ -75,20 +86,29 @@
 }
 
 // Heard records a heartbeat. A new identifier at a known address is a process
-// that was started again and has lost what its predecessor knew. Heard returns
-// false for a heartbeat that a newer one has overtaken, which changes nothing.
-func (d *Detector) Heard(now time.Duration, member Member, report Report) bool {
+// that was started again and has lost what its predecessor knew. It is not fresh
+// when a newer one has overtaken it, and then changes nothing; broke tells that
+// the peer has stopped to vouch for its records since the last one.
+func (d *Detector) Heard(now time.Duration, member Member, report Report) (fresh, broke bool) {
 	if member.Address == d.self.Address {
-		return false
+		return false, false
 	}
 	p := d.at(member.Address)
 	if p.ID == member.ID && report.Sequence <= p.Sequence {
-		return false
+		return false, false
+	}
+	broke = p.ID == member.ID && report.Breaks != p.Breaks
+	if p.ID != member.ID {
+		p.breaksThen, p.goneOn = d.forgotten[member.ID]
+		delete(d.forgotten, member.ID)
+	}
+	if report.Breaks != p.breaksThen {
+		p.goneOn = false
 	}
 	p.Member = member
 	p.Report = report
 	p.heard = now
-	return true
+	return true, broke
 }
 
 // Listed replaces what the machine list says. The list lags: it only adds
@@ -126,10 +146,27 @@
 // Forget drops peers that are neither listed nor heard from.
 func (d *Detector) Forget(now time.Duration) {
 	d.peers = slices.DeleteFunc(d.peers, func(p *peer) bool {
-		return !p.listed && (p.ID == 0 || now-p.heard > ForgetAfter)
+		drop := !p.listed && (p.ID == 0 || now-p.heard > ForgetAfter)
+		if drop && p.goneOn {
+			d.forgotten[p.ID] = p.breaksThen
+		}
+		return drop
 	})
 }
 
+// GoOn notes that this node decides from now on without the peers that have been
+// out of the view for ViewSettle; each must be told, should it come back, that records may exist that it
+// lacks. It is called while this node hears a majority.
+func (d *Detector) GoOn(now time.Duration) {
+	for _, p := range d.peers {
+		if p.ID == 0 || p.goneOn || p.Leaving || now-p.heard <= DeadAfter+ViewSettle {
+			continue
+		}
+		p.goneOn = true
+		p.breaksThen = p.Breaks
+	}
+}
+
 // Live returns the members of the view at now, in order of identifier.
 func (d *Detector) Live(now time.Duration) []Member {
 	var members []Member
@@ -174,14 +211,21 @@
 // Overdue tells whether the peer's last heartbeat is late, before it counts as dead.
 func (d *Detector) Overdue(id ID, now time.Duration) bool {
 	p := d.find(id)
-	return p == nil || now-p.heard > HeartbeatInterval+HeartbeatInterval/2
+	return p == nil || now-p.heard > ViewSettle
+}
+
+// Target is a peer that heartbeats are sent to.
+type Target struct {
+	Address netip.AddrPort
+	// GoneOn is set when the peer must be told that this node decided without it.
+	GoneOn bool
 }
 
-// Addresses returns where heartbeats are sent: every known peer.
-func (d *Detector) Addresses() []netip.AddrPort {
-	addresses := make([]netip.AddrPort, 0, len(d.peers))
+// Targets returns every known peer.
+func (d *Detector) Targets() []Target {
+	targets := make([]Target, 0, len(d.peers))
 	for _, p := range d.peers {
-		addresses = append(addresses, p.Address)
+		targets = append(targets, Target{p.Address, p.goneOn})
 	}
-	return addresses
+	return targets
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -150,6 +150,9 @@
 type Continuity struct {
 	self  ID
 	since [PartitionCount]time.Duration
+	// changed is when the partition's pair last became another one.
+	changed [PartitionCount]time.Duration
+	pairs   [PartitionCount]Pair
 	// bootstrapUntil ends the time in which this node may assume that no
 	// balancer ran before, so that it misses no record.
 	bootstrapUntil time.Duration
@@ -167,6 +170,7 @@
 	continuity := &Continuity{self: self, bootstrapUntil: bootstrapUntil}
 	for i := range continuity.since {
 		continuity.since[i] = never
+		continuity.changed[i] = always
 	}
 	return continuity
 }
@@ -174,6 +178,10 @@
 // Change records a change of view at now.
 func (c *Continuity) Change(now time.Duration, next *View) {
 	for partition := range c.since {
+		if pair := next.PairAt(partition); pair != c.pairs[partition] {
+			c.pairs[partition] = pair
+			c.changed[partition] = now
+		}
 		switch {
 		case !next.PairAt(partition).Has(c.self):
 			c.since[partition] = never
@@ -185,6 +193,12 @@
 	}
 }
 
+// Settled tells whether the partition's pair has been the same for ViewSettle,
+// so that a change that is only half seen leads to no decision.
+func (c *Continuity) Settled(partition int, now time.Duration) bool {
+	return now < c.bootstrapUntil || now-c.changed[partition] >= ViewSettle
+}
+
 // Break forgets all continuity, for a node that was paused or cut off.
 func (c *Continuity) Break(now time.Duration, view *View) {
 	for partition := range c.since {
