--- a/internal/balancer/caller.go
+++ b/internal/balancer/caller.go
@@ -51,7 +51,8 @@
 	if f.Backend == 0 || !f.Verified {
 		return
 	}
-	dead := c.registry.get(f.Backend).dead(x.now)
+	// Without a majority the back end may only be out of this node's reach.
+	dead := c.quorum && c.registry.get(f.Backend).dead(x.now)
 	if !dead && !c.rested(x, f) {
 		return
 	}
@@ -200,6 +201,10 @@
 		c.drop(errkind.Undecided)
 		return
 	}
+	if c.powerless(x) {
+		c.standBack(x, f)
+		return
+	}
 	kind := c.proposal(x, f)
 	// What this node knows of a flow from an answer alone may lack refusals.
 	covers := f.Complete && c.covers(x)
@@ -230,6 +235,29 @@
 	return !settled && !x.service.Repeatable && !c.config.Mechanisms.NoContinuity && c.config.Strategy == Replicated
 }
 
+// powerless tells whether this node hears no majority, so that it must not
+// decide where a request runs that may not run twice.
+func (c *Core) powerless(x *exchangeContext) bool {
+	return !c.quorum && !x.service.Repeatable && !c.config.Mechanisms.NoQuorum && c.config.Strategy == Replicated
+}
+
+// standBack leaves the first copy of a request to the balancers that hear a
+// majority: the fabric may take the next copy to one of them. A copy that comes
+// back here all the same is answered at once.
+func (c *Core) standBack(x *exchangeContext, f *flow.Flow) {
+	if f.Find(x.packet.MessageID) != nil {
+		c.answer(x.packet, errkind.OutcomeUnknown, x.service.RefusalRetry, x.effects)
+		return
+	}
+	c.drop(errkind.Undecided)
+	f.Exchanges = append(f.Exchanges, flow.Exchange{
+		MessageID: x.packet.MessageID,
+		Token:     x.packet.Token,
+		State:     flow.GivenUp,
+		Until:     x.now + x.service.RequestLifetime,
+	})
+}
+
 // proposal returns the refusal that an earlier copy of the request met, or
 // makes sure that the flow has a pin.
 func (c *Core) proposal(x *exchangeContext, f *flow.Flow) errkind.Kind {
--- a/internal/balancer/config.go
+++ b/internal/balancer/config.go
@@ -62,8 +62,9 @@
 // sendSettings sends a peer the changes since the revision it has, in parts.
 // A peer that misses a part asks again.
 func (c *Core) sendSettings(now time.Duration, to membership.ID, have uint64, effects *Effects) {
-	member, live := c.view.Member(to)
-	if !live || have >= c.snapshot.Revision {
+	// A node that has not joined yet, or resumes after a pause, asks too.
+	member, known := c.detector.Known(to)
+	if !known || have >= c.snapshot.Revision {
 		return
 	}
 	base := settings.Tree{"": settings.Values{}}
@@ -100,7 +101,7 @@
 		next := c.settingsQueue[0]
 		current := next.part.Revision == c.snapshot.Revision
 		message := &Message{From: c.self, SettingsPart: next.part}
-		if current && !c.sendControl(now, next.to, message, bulk, effects) {
+		if current && !c.sendControl(now, next.to, message, essential, effects) {
 			return
 		}
 		c.settingsQueue = c.settingsQueue[1:]
--- a/internal/balancer/tick.go
+++ b/internal/balancer/tick.go
@@ -213,10 +213,8 @@
 
 func (c *Core) sendHeartbeats(now time.Duration, effects *Effects) {
 	c.heartbeats++
-	for _, target := range c.detector.Targets() {
+	for _, target := range c.detector.Targets(c.heartbeats) {
 		heartbeat := &Heartbeat{
-			Address:  c.config.Self.Address,
-			Zone:     c.config.Self.Zone,
 			Revision: c.snapshot.Revision,
 			Leaving:  !c.detector.Joined(),
 			Settled:  c.copier.settled(1),
@@ -224,12 +222,26 @@
 			Breaks:   c.breaks,
 			Sequence: c.heartbeats,
 		}
+		if target.Introduce {
+			heartbeat.Introduction = &Introduction{Address: c.config.Self.Address, Zone: c.config.Self.Zone}
+		}
 		c.sendControl(now, target.Address, &Message{From: c.self, Heartbeat: heartbeat}, essential, effects)
 	}
 }
 
+// senderOf returns who sent a heartbeat, unless that is not known yet.
+func (c *Core) senderOf(from membership.ID, heartbeat *Heartbeat) (membership.Member, bool) {
+	if introduction := heartbeat.Introduction; introduction != nil {
+		return membership.Member{ID: from, Zone: introduction.Zone, Address: introduction.Address}, true
+	}
+	return c.detector.Known(from)
+}
+
 func (c *Core) handleHeartbeat(now time.Duration, from membership.ID, heartbeat *Heartbeat, effects *Effects) {
-	member := membership.Member{ID: from, Zone: heartbeat.Zone, Address: heartbeat.Address}
+	member, known := c.senderOf(from, heartbeat)
+	if !known {
+		return
+	}
 	report := membership.Report{
 		Sequence: heartbeat.Sequence,
 		Leaving:  heartbeat.Leaving,
@@ -245,14 +257,14 @@
 	}
 	if heartbeat.GoneOn && !c.config.Mechanisms.NoContinuity && now-c.lastBreak > membership.HeartbeatInterval {
 		c.stopVouching(now)
-		effects.add(Effect{Kind: StateChanged, Subject: heartbeat.Address.String(), State: "went on without this node"})
+		effects.add(Effect{Kind: StateChanged, Subject: member.Address.String(), State: "went on without this node"})
 	}
 	c.refreshView(now, effects)
 	behind := heartbeat.Revision > c.snapshot.Revision && !c.config.Mechanisms.NoSettingsGossip
 	if behind && now-c.lastRequest >= settingsRequestInterval {
 		c.lastRequest = now
 		request := &SettingsRequest{Have: c.snapshot.Revision}
-		c.sendControl(now, heartbeat.Address, &Message{From: c.self, SettingsRequest: request}, essential, effects)
+		c.sendControl(now, member.Address, &Message{From: c.self, SettingsRequest: request}, essential, effects)
 	}
 }
 
--- a/internal/balancer/types.go
+++ b/internal/balancer/types.go
@@ -273,10 +273,8 @@
 type Heartbeat struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Address  netip.AddrPort `msgpack:"a"`
-	Zone     string         `msgpack:"z"`
-	Revision uint64         `msgpack:"r"`
-	Leaving  bool           `msgpack:"l"`
+	Revision uint64 `msgpack:"r"`
+	Leaving  bool   `msgpack:"l"`
 	// Settled is set when the sender's pairs hold everything twice, so that a
 	// join or leave endangers nothing.
 	Settled bool `msgpack:"s"`
@@ -285,11 +283,21 @@
 	// sender has done so.
 	GoneOn bool   `msgpack:"g"`
 	Breaks uint32 `msgpack:"b"`
+	// Introduction is left out where the receiver knows the sender.
+	Introduction *Introduction `msgpack:"i"`
 	// Sequence numbers the heartbeats of one run of a process, because datagrams
 	// overtake each other.
 	Sequence uint64 `msgpack:"n"`
 }
 
+// Introduction says who the sender of a heartbeat is.
+type Introduction struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Address netip.AddrPort `msgpack:"a"`
+	Zone    string         `msgpack:"z"`
+}
+
 // SettingsRequest asks a peer for the changes since a revision.
 type SettingsRequest struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -32,6 +32,9 @@
 	// confirmed that it knows; breaksThen is the peer's count of breaks then.
 	goneOn     bool
 	breaksThen uint32
+	// introductions is how many heartbeats to the peer must still say who this
+	// node is.
+	introductions int
 }
 
 // Report is what a peer says of itself in a heartbeat.
@@ -80,7 +83,8 @@
 		return p.Address.Compare(a)
 	})
 	if !known {
-		d.peers = slices.Insert(d.peers, index, &peer{Member: Member{Address: address}})
+		p := &peer{Member: Member{Address: address}, introductions: introductions}
+		d.peers = slices.Insert(d.peers, index, p)
 	}
 	return d.peers[index]
 }
@@ -99,6 +103,7 @@
 	}
 	broke = p.ID == member.ID && report.Breaks != p.Breaks
 	if p.ID != member.ID {
+		p.introductions = introductions
 		p.breaksThen, p.goneOn = d.forgotten[member.ID]
 		delete(d.forgotten, member.ID)
 	}
@@ -214,18 +219,38 @@
 	return p == nil || now-p.heard > ViewSettle
 }
 
+const (
+	// introductions is how many heartbeats to a new peer say who this node is.
+	introductions = 3
+	// introduceEvery is every how many rounds all peers are told again.
+	introduceEvery = 10
+)
+
 // Target is a peer that heartbeats are sent to.
 type Target struct {
 	Address netip.AddrPort
 	// GoneOn is set when the peer must be told that this node decided without it.
 	GoneOn bool
+	// Introduce is set when the heartbeat must say who this node is; the rest of
+	// the time the identifier is enough.
+	Introduce bool
 }
 
-// Targets returns every known peer.
-func (d *Detector) Targets() []Target {
+// Targets returns every known peer, for one round of heartbeats.
+func (d *Detector) Targets(round uint64) []Target {
 	targets := make([]Target, 0, len(d.peers))
 	for _, p := range d.peers {
-		targets = append(targets, Target{p.Address, p.goneOn})
+		introduce := p.introductions > 0 || p.ID == 0 || round%introduceEvery == 0
+		p.introductions = max(0, p.introductions-1)
+		targets = append(targets, Target{p.Address, p.goneOn, introduce})
 	}
 	return targets
 }
+
+// Known returns the peer that has introduced itself with the identifier.
+func (d *Detector) Known(id ID) (Member, bool) {
+	if p := d.find(id); p != nil && id != 0 {
+		return p.Member, true
+	}
+	return Member{}, false
+}
