--- a/internal/balancer/answer.go
+++ b/internal/balancer/answer.go
@@ -245,8 +245,8 @@
 	}
 	target := c.registry.at(relay.Backend)
 	c.release(f)
-	f.Backend = 0
 	if target != nil {
+		// A datagram without a pin never clears one: it may have been overtaken.
 		f.Backend = target.id
 	}
 	f.Verified = true
@@ -368,8 +368,11 @@
 	}
 	f.Complete = false
 	f.Verified = true
-	f.Replica = x.pair.Successor
-	f.ReplicatedAt = x.now
+	f.Replica = 0
+	if relay.Backend.IsValid() {
+		f.Replica = x.pair.Successor
+		f.ReplicatedAt = x.now
+	}
 	f.LastSeen = x.now
 	mergeRefusals(f, relay.Refusals, x.now)
 	c.Counters.Adopted.Add(1)
--- a/internal/balancer/caller.go
+++ b/internal/balancer/caller.go
@@ -205,6 +205,10 @@
 		c.standBack(x, f)
 		return
 	}
+	if exchange := f.Find(x.packet.MessageID); exchange != nil && exchange.State == flow.GivenUp {
+		c.answer(x.packet, errkind.OutcomeUnknown, x.service.RefusalRetry, x.effects)
+		return
+	}
 	kind := c.proposal(x, f)
 	// What this node knows of a flow from an answer alone may lack refusals.
 	covers := f.Complete && c.covers(x)
@@ -265,8 +269,6 @@
 	switch {
 	case exchange != nil && exchange.State == flow.Refused:
 		return exchange.Kind
-	case exchange != nil && exchange.State == flow.GivenUp:
-		return errkind.OutcomeUnknown
 	case f.Backend != 0:
 		return errkind.None
 	}
--- a/internal/balancer/copy.go
+++ b/internal/balancer/copy.go
@@ -200,12 +200,9 @@
 	mergeRefusals(f, refusals, now)
 	target := c.registry.at(backend)
 	switch {
-	case pair.Owner == from:
+	case pair.Owner == from && target != nil:
 		// The owner's word counts over what this node holds.
-		f.Backend = 0
-		if target != nil {
-			f.Backend = target.id
-		}
+		f.Backend = target.id
 	case f.Verified:
 		return
 	case target != nil:
--- a/internal/balancer/tick.go
+++ b/internal/balancer/tick.go
@@ -216,7 +216,8 @@
 	for _, target := range c.detector.Targets(c.heartbeats) {
 		heartbeat := &Heartbeat{
 			Revision: c.snapshot.Revision,
-			Leaving:  !c.detector.Joined(),
+			Absent:   !c.detector.Joined(),
+			Leaving:  c.leave.announced,
 			Settled:  c.copier.settled(1),
 			GoneOn:   target.GoneOn,
 			Breaks:   c.breaks,
@@ -244,6 +245,7 @@
 	}
 	report := membership.Report{
 		Sequence: heartbeat.Sequence,
+		Absent:   heartbeat.Absent,
 		Leaving:  heartbeat.Leaving,
 		Settled:  heartbeat.Settled,
 		Breaks:   heartbeat.Breaks,
--- a/internal/balancer/types.go
+++ b/internal/balancer/types.go
@@ -274,7 +274,10 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Revision uint64 `msgpack:"r"`
-	Leaving  bool   `msgpack:"l"`
+	// Absent is set while the sender listens before it joins, or leaves; Leaving
+	// once it has left for good.
+	Absent  bool `msgpack:"a"`
+	Leaving bool `msgpack:"l"`
 	// Settled is set when the sender's pairs hold everything twice, so that a
 	// join or leave endangers nothing.
 	Settled bool `msgpack:"s"`
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -41,7 +41,10 @@
 type Report struct {
 	// Sequence numbers the heartbeats of one run of the peer.
 	Sequence uint64
-	// Leaving is set while the peer is not, or no longer, part of the view.
+	// Absent is set while the peer listens before it joins, or leaves.
+	Absent bool
+	// Leaving is set once the peer has left for good. A peer that only listens
+	// may join and decide at any moment, and so counts towards the quorum.
 	Leaving bool
 	// Settled is set when everything that the peer holds is held twice.
 	Settled bool
@@ -179,7 +182,7 @@
 		members = append(members, d.self)
 	}
 	for _, p := range d.peers {
-		if p.alive(now) && !p.Leaving {
+		if p.alive(now) && !p.Absent {
 			members = append(members, p.Member)
 		}
 	}
@@ -188,7 +191,7 @@
 }
 
 // Quorum tells whether this node hears a majority of the members it knows,
-// itself included. Peers that announced that they leave do not count.
+// itself included. Peers that have left for good do not count.
 func (d *Detector) Quorum(now time.Duration) bool {
 	known, heard := 1, 1
 	for _, p := range d.peers {
@@ -206,7 +209,7 @@
 // AllSettled tells whether every live member of the view is settled.
 func (d *Detector) AllSettled(now time.Duration) bool {
 	for _, p := range d.peers {
-		if p.alive(now) && !p.Leaving && !p.Settled {
+		if p.alive(now) && !p.Absent && !p.Settled {
 			return false
 		}
 	}
