Only a vouched record, a majority or a complete history decides

A successor now takes a refusal only from an owner that has seen all of the flow's requests. - a planned release of a pin names the pin it replaces.

--- a/internal/balancer/answer.go
+++ b/internal/balancer/answer.go
@@ -89,6 +89,7 @@
 	}
 	exchange.Proposed = false
 	f.Verified = true
+	f.Replaced = 0
 	f.Replica = exchange.Replica
 	f.ReplicatedAt = x.now
 }
@@ -271,26 +272,52 @@
 		c.relay(x.pair.Owner, Relay{Kind: RelayAmbiguous, Hops: x.hops, Packet: x.packet}, x.effects)
 		return false
 	}
-	if f == nil && c.undecided(x) {
+	if f == nil || !f.Verified {
+		return c.agreeUnknown(x, f, relay)
+	}
+	held := c.addressOf(f)
+	samePin := f.Backend == 0 || held == relay.Backend || held == relay.Replaces
+	if samePin && knowsAll(relay.Refusals, f) && (relay.Error == errkind.None || c.mayRefuse(x, f, relay)) {
+		return true
+	}
+	c.returnHeld(x, f)
+	return false
+}
+
+// agreeUnknown is agree for a flow of which this node has no record that it can
+// vouch for. A pin from before it stopped to vouch is better than a new one.
+func (c *Core) agreeUnknown(x *exchangeContext, f *flow.Flow, relay *Relay) bool {
+	if c.undecided(x) {
 		c.drop(errkind.Undecided)
 		return false
 	}
-	if f == nil {
-		if relay.HeadCovers || x.service.Repeatable || c.covers(x) {
-			return true
-		}
-		c.noteAmbiguous(x)
+	covers := c.covers(x)
+	if !relay.HeadCovers && !x.service.Repeatable && !covers {
+		c.noteAmbiguous(x, f)
 		c.relay(x.pair.Owner, Relay{Kind: RelayAmbiguous, Hops: x.hops, Packet: x.packet}, x.effects)
 		return false
 	}
-	held := c.addressOf(f)
-	if (f.Backend == 0 || held == relay.Backend) && knowsAll(relay.Refusals, f) {
+	switch {
+	case f == nil || relay.HeadCovers && !covers:
+		return true
+	case covers && !knowsAll(relay.Refusals, f):
+		// Nobody decided without this node, so what it refused stays refused.
+		c.returnHeld(x, f)
+		return false
+	case f.Backend == 0 || c.addressOf(f) == relay.Backend || c.addressOf(f) == relay.Replaces:
 		return true
 	}
 	c.returnHeld(x, f)
 	return false
 }
 
+// mayRefuse tells whether a proposed refusal is true: the request cannot have
+// reached a back end. This node sees only some requests of a pinned flow.
+func (c *Core) mayRefuse(x *exchangeContext, f *flow.Flow, relay *Relay) bool {
+	known := f.Find(x.packet.MessageID)
+	return f.Backend == 0 || relay.HeadCovers || known != nil && known.State == flow.Refused
+}
+
 // returnHeld sends a datagram back to the owner with what this node holds of
 // the flow. Should it be lost, the owner's next datagram asks again.
 func (c *Core) returnHeld(x *exchangeContext, f *flow.Flow) {
@@ -327,10 +354,12 @@
 
 // noteAmbiguous remembers, as the successor, that nobody can say whether the
 // flow's requests ran. The shard is locked.
-func (c *Core) noteAmbiguous(x *exchangeContext) {
-	f := &flow.Flow{Key: x.packet.Flow, Hash: x.hash, LastSeen: x.now}
+func (c *Core) noteAmbiguous(x *exchangeContext, f *flow.Flow) {
+	if f == nil {
+		f = &flow.Flow{Key: x.packet.Flow, Hash: x.hash, LastSeen: x.now}
+		c.flows.ShardOf(x.hash).Add(f)
+	}
 	f.AmbiguousUntil = x.now + x.service.RequestLifetime
-	c.flows.ShardOf(x.hash).Add(f)
 }
 
 // knowsAll tells whether the list names every refusal of the flow.
@@ -380,5 +409,9 @@
 		c.deliver(x.packet, x.effects)
 		return
 	}
+	if f.Backend == 0 && f.Find(x.packet.MessageID) == nil {
+		c.propose(x, f)
+		return
+	}
 	c.ownRequest(x, f)
 }
--- a/internal/balancer/caller.go
+++ b/internal/balancer/caller.go
@@ -26,7 +26,7 @@
 	switch {
 	case f.AmbiguousUntil > x.now:
 		c.answer(x.packet, errkind.OutcomeUnknown, x.service.RefusalRetry, x.effects)
-	case !f.Verified:
+	case !f.Verified || f.Backend == 0:
 		c.propose(x, f)
 	default:
 		c.ownRequest(x, f)
@@ -61,6 +61,7 @@
 		f.AmbiguousUntil = x.now + x.service.RequestLifetime
 	}
 	c.release(f)
+	f.Replaced = f.Backend
 	f.Backend = 0
 	f.Replica = 0
 	f.Observing = false
@@ -82,13 +83,7 @@
 		c.repeatRequest(x, f, exchange)
 		return
 	}
-	kind := errkind.None
-	if f.Backend == 0 {
-		kind = c.place(x, f)
-	} else {
-		kind = c.admit(x, f)
-	}
-	if kind != errkind.None {
+	if kind := c.admit(x, f); kind != errkind.None {
 		c.refuse(x, f, kind)
 		return
 	}
@@ -201,7 +196,7 @@
 		c.drop(errkind.Undecided)
 		return
 	}
-	if c.powerless(x) {
+	if c.powerless() {
 		c.standBack(x, f)
 		return
 	}
@@ -225,6 +220,9 @@
 		Refusals:   refusalsOf(f, x.now),
 		Packet:     x.packet,
 	}
+	if replaced := c.registry.get(f.Replaced); replaced != nil {
+		relay.Replaces = replaced.address
+	}
 	if f.Find(x.packet.MessageID) == nil {
 		c.note(x, f, kind)
 		f.Find(x.packet.MessageID).Proposed = true
@@ -240,9 +238,10 @@
 }
 
 // powerless tells whether this node hears no majority, so that it must not
-// decide where a request runs that may not run twice.
-func (c *Core) powerless(x *exchangeContext) bool {
-	return !c.quorum && !x.service.Repeatable && !c.config.Mechanisms.NoQuorum && c.config.Strategy == Replicated
+// decide where a new flow goes: others may have placed it already, and a back
+// end may be leaving without this node's knowledge.
+func (c *Core) powerless() bool {
+	return !c.quorum && !c.config.Mechanisms.NoQuorum && c.config.Strategy == Replicated
 }
 
 // standBack leaves the first copy of a request to the balancers that hear a
@@ -394,6 +393,7 @@
 // successor, so that the record outlives this node.
 func (c *Core) refuse(x *exchangeContext, f *flow.Flow, kind errkind.Kind) {
 	c.recordRefusal(x, f, kind)
+	f.Find(x.packet.MessageID).Proposed = true
 	if f.Replica != x.pair.Successor {
 		// The copy that an earlier successor holds lacks this refusal.
 		f.Replica = 0
--- a/internal/balancer/types.go
+++ b/internal/balancer/types.go
@@ -251,7 +251,9 @@
 	// the whole request lifetime, so that a flow it does not know is new.
 	HeadCovers bool `msgpack:"c"`
 	// Backend is the flow's pin; the zero value is none.
-	Backend  netip.AddrPort `msgpack:"b"`
+	Backend netip.AddrPort `msgpack:"b"`
+	// Replaces is the pin that a proposal gives up on purpose.
+	Replaces netip.AddrPort `msgpack:"r"`
 	Refusals []Refusal      `msgpack:"x"`
 	Error    errkind.Kind   `msgpack:"e"`
 	// Data is the datagram as received, and Packet what was decoded from it.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -84,6 +84,9 @@
 	Hash uint64
 	// Backend is the pinned back end; 0 when every request so far was refused.
 	Backend settings.BackendID
+	// Replaced is the pin that the flow was released from, for as long as the
+	// successor may still hold it.
+	Replaced settings.BackendID
 	// Owner is set while this node counts the flow as its own.
 	Owner bool
 	// Verified is unset while the pin is known only from an answer, so that
