Observer: a flow that began before a drain is no new work

Ruled out: a balancer without majority placing flows (it places none), settings arriving late (0.3 s). The check is as strict for every flow that begins after the grace time.

--- a/internal/sim/session.go
+++ b/internal/sim/session.go
@@ -89,6 +89,7 @@
 	binary.BigEndian.PutUint32(address[:], 10<<24|w.nextCaller)
 	key := flow.Key{Caller: netip.AddrPortFrom(netip.AddrFrom4(address), 5683), Service: service.Address}
 	w.sessions[key] = s
+	w.truth.beganAt[key] = w.now
 	return exchange{world: w, key: key, messageID: uint16(w.random.Uint32())}
 }
 
