Demo, judge and settled state

The demo found two things. And 841 unknown outcomes when a balancer was killed seconds after another had joined: its records were not yet held twice.

--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -27,6 +27,9 @@
 	Quorum   bool            `json:"quorum"`
 	Revision uint64          `json:"revision"`
 	Members  []string        `json:"members"`
+	// Settled is set when everything this node holds is held twice, so that the
+	// next change endangers nothing.
+	Settled  bool            `json:"settled"`
 	Flows    int             `json:"flows"`
 	Owned    int64           `json:"owned"`
 	Waiting  string          `json:"waiting_for,omitempty"`
@@ -43,6 +46,7 @@
 		Phase:    c.phase(),
 		Quorum:   c.quorum,
 		Revision: c.snapshot.Revision,
+		Settled:  c.copier.settled(1),
 		Flows:    c.flows.Len(),
 		Waiting:  c.waiting(now),
 	}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -126,9 +126,9 @@
 
 func (s *FleetStatus) text(w io.Writer) {
 	fmt.Fprintf(w, "store %s, newest revision %d, imbalance %.2f\n\n", s.Store, s.Newest, s.Imbalance)
-	fmt.Fprintln(w, "BALANCER\tZONE\tPHASE\tREVISION\tMEMBERS\tFLOWS\tOWNED\tNOTE")
+	fmt.Fprintln(w, "BALANCER\tZONE\tPHASE\tREVISION\tMEMBERS\tSETTLED\tFLOWS\tOWNED\tNOTE")
 	for _, node := range s.Balancers {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s%s\n", node.Address, node.Zone, node.Phase, node.Revision, len(node.Members), node.Flows, node.Owned, node.Waiting, node.Error)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%t\t%d\t%d\t%s%s\n", node.Address, node.Zone, node.Phase, node.Revision, len(node.Members), node.Settled, node.Flows, node.Owned, node.Waiting, node.Error)
 	}
 	fmt.Fprintln(w, "\nBACK END\tADDRESS\tSTATE\tFLOWS\tIN FLIGHT")
 	for _, backend := range s.Backends {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -73,6 +73,7 @@
 	Fabric   *fabricCommand   `arg:"subcommand:fabric"`
 	Backend  *backendCommand  `arg:"subcommand:backend"`
 	Caller   *callerCommand   `arg:"subcommand:caller"`
+	Judge    *judgeCommand    `arg:"subcommand:judge" help:"compare what callers were told with what back ends ran"`
 }
 
 // Main runs the command line until SIGTERM or SIGINT and returns the exit status.
@@ -123,6 +124,9 @@
 		}
 		return running.Run(ctx)
 	}
+	if parsed.Judge != nil {
+		return judge(parsed.Judge, out)
+	}
 	c := parsed.Caller
 	report, err := caller.Run(ctx, caller.Config{Name: c.Name, Feed: c.Feed, Run: c.Run, Upload: c.Upload, Feeds: c.Feeds,
 		Runs: c.Runs, Uploads: c.Uploads, UploadBytes: c.Bytes, Duration: c.Duration, Pause: c.Pause, Stall: c.Stall})
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -53,7 +53,7 @@
   for number in 1 2 3; do
     start_balancer "$number" --bootstrap true --peers 127.0.0.1:5611,127.0.0.1:5612,127.0.0.1:5613
   done
-  retry 100 serving 3
+  retry 100 serving 3 && sleep 0.5 # the fabric reads the list five times a second
 }
 
 # retry COUNT COMMAND... repeats a command ten times a second until it succeeds.
@@ -68,9 +68,9 @@
   return 1
 }
 
-# serving COUNT tells whether so many balancers serve.
+# serving COUNT tells whether so many balancers serve, with every flow held twice.
 serving() {
-  [ "$("$bin/gaugeyard" status --json | grep -o '"phase":"serving"' | wc -l)" = "$1" ]
+  [ "$("$bin/gaugeyard" status --json | grep -o '"phase":"serving"[^[]*"members":[^]]*],"settled":true' | wc -l)" = "$1" ]
 }
 
 stop_fleet() {
