--- a/internal/balancer/registry.go
+++ b/internal/balancer/registry.go
@@ -177,7 +177,7 @@
 	effects.candidates = effects.candidates[:0]
 	effects.backends = effects.backends[:0]
 	nodes := max(len(c.view.Members), 1)
-	for _, configured := range service.Backends {
+	for _, configured := range c.backendsOf(service) {
 		known := c.registry.at(configured.Address)
 		candidate := placement.Candidate{
 			ID:            configured.ID,
@@ -196,6 +196,18 @@
 	return effects.candidates, effects.backends
 }
 
+// backendsOf lists the back ends that may serve a service.
+func (c *Core) backendsOf(service *settings.Service) []*settings.Backend {
+	if !c.config.Mechanisms.NoServiceCheck {
+		return service.Backends
+	}
+	var all []*settings.Backend
+	for _, other := range c.snapshot.Services {
+		all = append(all, other.Backends...)
+	}
+	return all
+}
+
 func (c *Core) adjustForExperiment(candidate *placement.Candidate, known *backend) {
 	if c.config.Mechanisms.NoAdmission {
 		candidate.FlowLimit, candidate.InFlightLimit = 1<<30, 1<<30
--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -21,12 +21,12 @@
 
 // Status is what a balancer tells operators.
 type Status struct {
-	Address  string          `json:"address"`
-	Zone     string          `json:"zone"`
-	Phase    string          `json:"phase"`
-	Quorum   bool            `json:"quorum"`
-	Revision uint64          `json:"revision"`
-	Members  []string        `json:"members"`
+	Address  string   `json:"address"`
+	Zone     string   `json:"zone"`
+	Phase    string   `json:"phase"`
+	Quorum   bool     `json:"quorum"`
+	Revision uint64   `json:"revision"`
+	Members  []string `json:"members"`
 	// Settled is set when everything this node holds is held twice, so that the
 	// next change endangers nothing.
 	Settled  bool            `json:"settled"`
--- a/internal/balancer/types.go
+++ b/internal/balancer/types.go
@@ -206,14 +206,14 @@
 
 // Message is what balancers send each other. Exactly one pointer is set.
 type Message struct {
-	From            membership.ID    `msgpack:"f"`
-	Relay           *Relay           `msgpack:"r,omitempty"`
-	Heartbeat       *Heartbeat       `msgpack:"h,omitempty"`
-	SettingsRequest *SettingsRequest `msgpack:"q,omitempty"`
-	SettingsPart    *SettingsPart    `msgpack:"s,omitempty"`
-	Copy            *Copy            `msgpack:"c,omitempty"`
-	CopyDone        *CopyDone        `msgpack:"d,omitempty"`
-	Grant           *Grant           `msgpack:"g,omitempty"`
+	From            membership.ID
+	Relay           *Relay
+	Heartbeat       *Heartbeat
+	SettingsRequest *SettingsRequest
+	SettingsPart    *SettingsPart
+	Copy            *Copy
+	CopyDone        *CopyDone
+	Grant           *Grant
 }
 
 // RelayKind says what a relayed datagram asks of its receiver.
@@ -243,124 +243,102 @@
 // Relay is a flow's datagram on its way between balancers, with the flow's
 // record riding along.
 type Relay struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Kind RelayKind `msgpack:"k"`
-	Hops uint8     `msgpack:"h"`
+	Kind RelayKind
+	Hops uint8
 	// HeadCovers is set when the proposing owner has been one of the pair for
 	// the whole request lifetime, so that a flow it does not know is new.
-	HeadCovers bool `msgpack:"c"`
+	HeadCovers bool
 	// Backend is the flow's pin; the zero value is none.
-	Backend netip.AddrPort `msgpack:"b"`
+	Backend netip.AddrPort
 	// Replaces is the pin that a proposal gives up on purpose.
-	Replaces netip.AddrPort `msgpack:"r"`
-	Refusals []Refusal      `msgpack:"x"`
-	Error    errkind.Kind   `msgpack:"e"`
+	Replaces netip.AddrPort
+	Refusals []Refusal
+	Error    errkind.Kind
 	// Data is the datagram as received, and Packet what was decoded from it.
-	Data   []byte  `msgpack:"d"`
+	Data   []byte
 	Packet *Packet `msgpack:"-"`
 }
 
 // Refusal is one request that its caller was told did not run.
 type Refusal struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	MessageID uint16       `msgpack:"m"`
-	Kind      errkind.Kind `msgpack:"k"`
+	MessageID uint16
+	Kind      errkind.Kind
 	// LeftMilliseconds is how long the refusal must still be remembered.
-	LeftMilliseconds uint32 `msgpack:"l"`
+	LeftMilliseconds uint32
 }
 
 // Heartbeat tells peers that the sender is alive, and which revision it has.
 type Heartbeat struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Revision uint64 `msgpack:"r"`
+	Revision uint64
 	// Absent is set while the sender listens before it joins, or leaves; Leaving
 	// once it has left for good.
-	Absent  bool `msgpack:"a"`
-	Leaving bool `msgpack:"l"`
+	Absent  bool
+	Leaving bool
 	// Settled is set when the sender's pairs hold everything twice, so that a
 	// join or leave endangers nothing.
-	Settled bool `msgpack:"s"`
+	Settled bool
 	// GoneOn tells the receiver that the sender decided without it, so that the
 	// receiver must stop to vouch for its records; Breaks counts how often the
 	// sender has done so.
-	GoneOn bool   `msgpack:"g"`
-	Breaks uint32 `msgpack:"b"`
+	GoneOn bool
+	Breaks uint32
 	// Introduction is left out where the receiver knows the sender.
-	Introduction *Introduction `msgpack:"i"`
+	Introduction *Introduction
 	// Sequence numbers the heartbeats of one run of a process, because datagrams
 	// overtake each other.
-	Sequence uint64 `msgpack:"n"`
+	Sequence uint64
 }
 
 // Introduction says who the sender of a heartbeat is.
 type Introduction struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Address netip.AddrPort `msgpack:"a"`
-	Zone    string         `msgpack:"z"`
+	Address netip.AddrPort
+	Zone    string
 }
 
 // SettingsRequest asks a peer for the changes since a revision.
 type SettingsRequest struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Have uint64 `msgpack:"h"`
+	Have uint64
 }
 
 // SettingsPart is one of Count datagrams that lead from revision Base to Revision.
 type SettingsPart struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Base     uint64            `msgpack:"b"`
-	Revision uint64            `msgpack:"r"`
-	Index    int               `msgpack:"i"`
-	Count    int               `msgpack:"n"`
-	Changes  []settings.Change `msgpack:"c"`
+	Base     uint64
+	Revision uint64
+	Index    int
+	Count    int
+	Changes  []settings.Change
 }
 
 // Record is a group of flows of one service at one back end, on their way to
 // the other node of their pair. Grouping takes 8 bytes a flow in place of 26.
 type Record struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Service netip.AddrPort `msgpack:"s"`
+	Service netip.AddrPort
 	// Backend is the zero value for flows whose requests were all refused.
-	Backend netip.AddrPort   `msgpack:"b"`
-	Callers []netip.AddrPort `msgpack:"c"`
-	Refused []RefusedCaller  `msgpack:"x"`
+	Backend netip.AddrPort
+	Callers []netip.AddrPort
+	Refused []RefusedCaller
 }
 
 // RefusedCaller has the refusals of one flow of a record.
 type RefusedCaller struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Index is the flow's place in Callers.
-	Index    int       `msgpack:"i"`
-	Refusals []Refusal `msgpack:"r"`
+	Index    int
+	Refusals []Refusal
 }
 
 // Copy carries flows that no datagram has taken to the successor yet.
 type Copy struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Sequence uint32   `msgpack:"n"`
-	Records  []Record `msgpack:"r"`
+	Sequence uint32
+	Records  []Record
 }
 
 // CopyDone acknowledges a Copy.
 type CopyDone struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Sequence uint32 `msgpack:"n"`
+	Sequence uint32
 }
 
 // Grant tells the successor that it now holds every record of the partitions
 // whose bits are set.
 type Grant struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Partitions []byte `msgpack:"p"`
+	Partitions []byte
 }
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -250,12 +250,10 @@
 // Change is one difference between two trees. An empty Before or After means
 // that the node did not give the value.
 type Change struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Path   Path   `json:"path" msgpack:"p"`
-	Key    Key    `json:"key" msgpack:"k"`
-	Before string `json:"before,omitempty" msgpack:"b"`
-	After  string `json:"after,omitempty" msgpack:"a"`
+	Path   Path   `json:"path"`
+	Key    Key    `json:"key"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
 }
 
 // String returns the change on one line.
--- a/internal/sim/session.go
+++ b/internal/sim/session.go
@@ -205,7 +205,6 @@
 	service *settings.Service
 	left    int
 	request *request
-	source  netip.AddrPort
 }
 
 func (w *world) startLookups(service *settings.Service) {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -87,7 +87,7 @@
 }
 
 // answerTime is how long a caller waits for the answer to one request.
-const answerTime = 20 * time.Second
+const answerTime = 12 * time.Second
 
 // transferTime bounds the block-wise transfer of one upload.
 const transferTime = 30 * time.Second
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -21,6 +21,7 @@
 	defer msgpack.PutEncoder(encoder)
 	encoder.Reset(&buffer)
 	encoder.UseCompactInts(true)
+	encoder.UseArrayEncodedStructs(true)
 	if err := encoder.Encode(message); err != nil {
 		return nil, err
 	}
