--- a/internal/balancer/caller.go
+++ b/internal/balancer/caller.go
@@ -96,6 +96,11 @@
 func (c *Core) repeatRequest(x *exchangeContext, f *flow.Flow, exchange *flow.Exchange) {
 	switch exchange.State {
 	case flow.Refused:
+		if exchange.Proposed && !f.Complete {
+			// The successor has not agreed, and may know better by now.
+			c.propose(x, f)
+			return
+		}
 		c.sendRefusal(x, f, exchange.Kind)
 	case flow.GivenUp:
 		c.answer(x.packet, errkind.OutcomeUnknown, x.service.RefusalRetry, x.effects)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -190,10 +190,15 @@
 	return refusals
 }
 
-// Merge adds a refusal that the flow does not know.
+// Merge adds a refusal that a peer knows of. It takes the place of a request
+// given up, which says less.
 func (f *Flow) Merge(refusal Exchange) {
-	if f.Find(refusal.MessageID) == nil {
+	known := f.Find(refusal.MessageID)
+	switch {
+	case known == nil:
 		f.Exchanges = append(f.Exchanges, refusal)
+	case known.State == GivenUp:
+		*known = refusal
 	}
 }
 
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -141,6 +141,8 @@
 		{"an adopt without a pin passed for a copy", "litera", "everything", 3},
 		{"a note of a balancer without majority passed for a record", "litera", "everything", 1},
 		{"a refusal of a cut-off owner was told after the run", "litera", "everything", 16},
+		{"a request given up hid that it had been refused", "forecast", "everything", 2},
+		{"a proposed refusal was told after another way had led to a run", "forecast", "late-reordered-duplicated", 4},
 		{"views taken from heartbeats that were overtaken", "litera", "rolling-restart-balancers", 2},
 	}
 	for _, c := range cases {
