--- a/internal/balancer/answer.go
+++ b/internal/balancer/answer.go
@@ -136,7 +136,10 @@
 	if exchange.Proposed && !c.view.Has(exchange.Replica) {
 		// The request went through a successor that died, and may never have
 		// left it. The caller's next copy goes to the same back end.
-		c.forget(f, due.messageID)
+		if target := c.registry.get(f.Backend); target != nil {
+			target.inFlight.Add(-1)
+		}
+		f.Answer(exchange, now+c.longestLifetime())
 		return
 	}
 	exchange.State = flow.GivenUp
@@ -240,6 +243,10 @@
 	if relay.Kind == RelayPropose && !c.agree(x, f, relay) {
 		return
 	}
+	if f != nil && relay.Error != errkind.None && f.Forwarded(x.packet.MessageID) {
+		c.returnHeld(x, f)
+		return
+	}
 	if f == nil {
 		f = &flow.Flow{Key: x.packet.Flow, Hash: x.hash}
 		shard.Add(f)
@@ -390,7 +397,12 @@
 		return
 	}
 	if exchange := f.Find(x.packet.MessageID); exchange != nil && exchange.Proposed {
-		c.forget(f, x.packet.MessageID)
+		if exchange.State == flow.Refused && exchange.Replica != x.pair.Successor {
+			// An earlier successor may have told the caller; this one cannot know.
+			exchange.State = flow.GivenUp
+		} else {
+			c.forget(f, x.packet.MessageID)
+		}
 	}
 	if target := c.registry.at(relay.Backend); target != nil {
 		c.pin(f, target)
--- a/internal/balancer/caller.go
+++ b/internal/balancer/caller.go
@@ -83,6 +83,11 @@
 		c.repeatRequest(x, f, exchange)
 		return
 	}
+	if c.powerless() && !x.service.Repeatable && !x.packet.Continues {
+		// The side with the majority may refuse this request.
+		c.standBack(x, f)
+		return
+	}
 	if kind := c.admit(x, f); kind != errkind.None {
 		c.refuse(x, f, kind)
 		return
@@ -232,6 +237,7 @@
 		c.note(x, f, kind)
 		f.Find(x.packet.MessageID).Proposed = true
 	}
+	c.noteAsked(x, f)
 	c.relay(x.pair.Successor, relay, x.effects)
 }
 
@@ -279,6 +285,22 @@
 	return c.place(x, f)
 }
 
+// severalReplicas marks a refusal that was proposed to more than one successor.
+const severalReplicas = ^membership.ID(0)
+
+// noteAsked keeps in mind which successor may have told the caller of a refusal.
+func (c *Core) noteAsked(x *exchangeContext, f *flow.Flow) {
+	exchange := f.Find(x.packet.MessageID)
+	if exchange.State != flow.Refused || exchange.Replica == x.pair.Successor {
+		return
+	}
+	if exchange.Replica == 0 {
+		exchange.Replica = x.pair.Successor
+		return
+	}
+	exchange.Replica = severalReplicas
+}
+
 // note records a request as refused, or as in flight through the successor.
 func (c *Core) note(x *exchangeContext, f *flow.Flow, kind errkind.Kind) {
 	if kind != errkind.None {
@@ -354,7 +376,7 @@
 	}
 	target.flowCount(f.Key.Service).Add(-1)
 	target.inFlight.Add(-int64(f.InFlightCount()))
-	f.DropInFlight()
+	f.HandOver(f.LastSeen + c.longestLifetime())
 }
 
 // covers tells whether this node has a record of every request that may still
@@ -435,6 +457,7 @@
 		Refusals: refusalsOf(f, x.now),
 		Packet:   x.packet,
 	}
+	c.noteAsked(x, f)
 	c.relay(x.pair.Successor, relay, x.effects)
 }
 
--- a/internal/balancer/copy.go
+++ b/internal/balancer/copy.go
@@ -128,7 +128,7 @@
 		return false
 	}
 	f.Queued = 0
-	if !f.Verified || f.Replica == target.to {
+	if !c.vouches(now, f) || f.Replica == target.to {
 		return false
 	}
 	backend := c.addressOf(f)
--- a/internal/balancer/tick.go
+++ b/internal/balancer/tick.go
@@ -300,12 +300,19 @@
 		return false
 	}
 	partner := c.view.PairOf(f.Hash).Partner(c.self)
-	if f.Verified && partner != 0 && f.Replica != partner && c.config.Strategy == Replicated {
+	if c.vouches(now, f) && partner != 0 && f.Replica != partner && c.config.Strategy == Replicated {
 		c.copier.want(partner, f)
 	}
 	return true
 }
 
+// vouches tells whether this node's record of a flow is right: a peer confirmed
+// it, or nobody can have decided without this node.
+func (c *Core) vouches(now time.Duration, f *flow.Flow) bool {
+	partition := membership.PartitionOf(f.Hash)
+	return f.Verified || c.quorum && c.continuity.Covers(partition, now, c.longestLifetime())
+}
+
 // budgetClass says which control messages go first.
 type budgetClass int
 
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -47,8 +47,8 @@
 	InFlight ExchangeState = iota
 	// Refused means that the caller was told that the request did not run.
 	Refused
-	// Answered means that a final answer passed; copies go to the back end, which
-	// answers them from memory.
+	// Answered means that the request went to the back end and is settled here;
+	// copies go there too, and are answered from its memory.
 	Answered
 	// GivenUp means that the deadline passed; the caller was told that the outcome is unknown.
 	GivenUp
@@ -202,9 +202,21 @@
 	}
 }
 
-// DropInFlight forgets the requests in flight, for a node that no longer owns the flow.
-func (f *Flow) DropInFlight() {
-	f.Exchanges = slices.DeleteFunc(f.Exchanges, func(e Exchange) bool { return e.State == InFlight })
+// HandOver keeps the requests in flight in mind as forwarded, until the time,
+// for a node that no longer owns the flow: no later word may deny that they ran.
+func (f *Flow) HandOver(until time.Duration) {
+	for i := range f.Exchanges {
+		if f.Exchanges[i].State == InFlight {
+			f.Exchanges[i].State = Answered
+			f.Exchanges[i].Until = until
+		}
+	}
+}
+
+// Forwarded tells whether this node has sent the request to a back end.
+func (f *Flow) Forwarded(messageID uint16) bool {
+	known := f.Find(messageID)
+	return known != nil && (known.State == InFlight || known.State == Answered)
 }
 
 // Expire forgets settled requests whose time is over.
