Joins and planned leaves wait until the view has stood and all peers are settled

The queue has no marks now, a grant counts for both sides at once, and a join or leave waits for a view of 2 s in which all peers have said that they are settled. Ruled out: the byte budget (3.8 KB/s used at most).

--- a/internal/balancer/copy.go
+++ b/internal/balancer/copy.go
@@ -38,19 +38,21 @@
 	missing [membership.PartitionCount]bool
 	// granted names the partner that holds everything of a partition.
 	granted [membership.PartitionCount]membership.ID
+	// draining is set while a walk began with flows still queued; it queues none,
+	// so that no flow is queued twice.
+	draining bool
 	// interrupted is set when the view changed during the present walk.
 	interrupted bool
 	// walks counts uninterrupted walks since the last change of view.
 	walks int
-	// ungranted is set when the last walk found a partition to grant.
+	// ungranted is set when the last walk left a partition that could not be granted.
 	ungranted bool
 }
 
 // want notes that a node lacks the flow.
 func (p *copier) want(to membership.ID, f *flow.Flow) {
 	p.missing[membership.PartitionOf(f.Hash)] = true
-	if f.Queued != to && len(p.queue) < copyQueue {
-		f.Queued = to
+	if !p.draining && len(p.queue) < copyQueue {
 		p.queue = append(p.queue, copyTarget{f.Key, f.Hash, to})
 	}
 }
@@ -58,6 +60,7 @@
 // viewChanged forgets what was planned and granted for pairs that changed.
 func (p *copier) viewChanged(previous, next *membership.View) {
 	p.queue = p.queue[:0]
+	p.draining = false
 	p.sent = nil
 	p.interrupted = true
 	p.walks = 0
@@ -127,7 +130,6 @@
 	if f == nil {
 		return false
 	}
-	f.Queued = 0
 	if !c.vouches(now, f) || f.Replica == target.to {
 		return false
 	}
@@ -222,6 +224,7 @@
 		p.walks++
 	}
 	p.interrupted = false
+	p.draining = len(p.queue) > 0
 	clear(p.missing[:])
 }
 
@@ -237,8 +240,8 @@
 		if !c.quorum || !c.continuity.Covers(partition, now, c.longestLifetime()) {
 			continue
 		}
-		p.ungranted = true
 		if p.missing[partition] {
+			p.ungranted = true
 			continue
 		}
 		if grants[partner] == nil {
@@ -254,7 +257,8 @@
 }
 
 func (c *Core) sendGrant(now time.Duration, member membership.Member, bits []byte, effects *Effects) {
-	if !c.sendControl(now, member.Address, &Message{From: c.self, Grant: &Grant{Partitions: bits}}, bulk, effects) {
+	if !c.sendControl(now, member.Address, &Message{From: c.self, Grant: &Grant{Partitions: bits}}, essential, effects) {
+		c.copier.ungranted = true
 		return
 	}
 	for partition := range c.copier.granted {
@@ -273,6 +277,8 @@
 		granted := grant.Partitions[partition/8]&(1<<(partition%8)) != 0
 		if granted && c.view.PairAt(partition).Partner(c.self) == from {
 			c.continuity.Grant(partition, c.view)
+			// Who grants holds everything itself.
+			c.copier.granted[partition] = from
 		}
 	}
 }
--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -44,6 +44,8 @@
 	// heartbeats counts the heartbeats sent to all peers.
 	heartbeats  uint64
 	lastRequest time.Duration
+	// viewChanged is when the view last became another one.
+	viewChanged time.Duration
 	// breaks counts how often this node has stopped to vouch for its records.
 	breaks    uint32
 	lastBreak time.Duration
--- a/internal/balancer/leave.go
+++ b/internal/balancer/leave.go
@@ -54,7 +54,7 @@
 	l := &c.leave
 	switch {
 	case !l.started || l.finished.Load():
-	case !l.announced && (c.copied() || now-l.startedAt > leaveCopyLimit):
+	case !l.announced && (c.copied(now) || now-l.startedAt > leaveCopyLimit):
 		l.announced = true
 		l.announcedAt = now
 		c.detector.Withdraw()
@@ -67,9 +67,10 @@
 	}
 }
 
-// copied tells whether every flow that this node owns is at its successor.
-func (c *Core) copied() bool {
-	return len(c.view.Members) < 2 || c.copier.settled(copiedBeforeRest)
+// copied tells whether every flow that this node holds is held by another, and
+// no earlier change is still being made good.
+func (c *Core) copied(now time.Duration) bool {
+	return len(c.view.Members) < 2 || c.copier.settled(copiedBeforeRest) && c.othersSettled(now)
 }
 
 func (c *Core) settled(now time.Duration) bool {
--- a/internal/balancer/registry.go
+++ b/internal/balancer/registry.go
@@ -125,7 +125,8 @@
 // also those that left the settings while flows still use them.
 type registry struct {
 	sync.RWMutex
-	byID map[settings.BackendID]*backend
+	byID      map[settings.BackendID]*backend
+	byAddress map[netip.AddrPort]*backend
 }
 
 // get returns the back end with the identifier, or nil.
@@ -140,23 +141,29 @@
 	if !address.IsValid() {
 		return nil
 	}
-	id := settings.BackendIDOf(address)
-	if known := r.get(id); known != nil {
+	r.RLock()
+	known := r.byAddress[address]
+	r.RUnlock()
+	if known != nil {
 		return known
 	}
 	r.Lock()
 	defer r.Unlock()
+	if known := r.byAddress[address]; known != nil {
+		return known
+	}
 	if r.byID == nil {
 		r.byID = map[settings.BackendID]*backend{}
+		r.byAddress = map[netip.AddrPort]*backend{}
 	}
-	if r.byID[id] == nil {
-		r.byID[id] = &backend{id: id, address: address}
-	}
-	return r.byID[id]
+	added := &backend{id: settings.BackendIDOf(address), address: address}
+	r.byID[added.id] = added
+	r.byAddress[address] = added
+	return added
 }
 
 func (r *registry) report(address netip.AddrPort, utilization float64) {
-	if known := r.get(settings.BackendIDOf(address)); known != nil {
+	if known := r.at(address); known != nil {
 		known.utilization.Store(int64(utilization * 1000))
 	}
 }
--- a/internal/balancer/tick.go
+++ b/internal/balancer/tick.go
@@ -14,14 +14,20 @@
 	retryDecayInterval = time.Second
 	// settingsRequestInterval bounds how often a peer is asked for settings.
 	settingsRequestInterval = 500 * time.Millisecond
+	// viewStable is how long the view must stand before a node that joins or
+	// leaves as planned changes it again.
+	viewStable = 2 * time.Second
 	// quorumSettle is how long a majority must be heard before this node decides.
 	quorumSettle = 1 * time.Second
 	// joinPatience is how long a node waits to join while its peers still copy
 	// flows after an earlier change.
 	joinPatience = 30 * time.Second
-	// walkShards is how many shards of the flow table one tick looks through,
-	// so that a full walk takes ShardCount/walkShards ticks.
-	walkShards = 4
+	// settledWalkShards is how many shards of the flow table one tick looks
+	// through while everything is held twice; a full walk takes ShardCount
+	// divided by it ticks.
+	settledWalkShards = 1
+	// unsettledWalkShards is the same while flows must be copied.
+	unsettledWalkShards = 4
 	// leavingWalkShards is the same while this node leaves.
 	leavingWalkShards = 16
 	// copiedBeforeRest is how many walks a leaving node makes at least.
@@ -72,7 +78,7 @@
 	}
 	// At the first start of a fleet there is nothing to endanger.
 	patient := now >= c.config.BootstrapUntil && now < c.joinAt+joinPatience
-	if patient && !c.detector.AllSettled(now) {
+	if patient && !c.othersSettled(now) {
 		return
 	}
 	c.detector.Join()
@@ -80,6 +86,12 @@
 	c.sendHeartbeats(now, effects)
 }
 
+// othersSettled tells whether the view has stood for so long that every peer has
+// said since then whether it is settled, and all are.
+func (c *Core) othersSettled(now time.Duration) bool {
+	return now-c.viewChanged >= viewStable && c.detector.AllSettled(now)
+}
+
 // notePause notices that this node stood still for so long that its peers have
 // gone on without it. Nothing that it holds may be vouched for then, and it
 // joins anew. It runs before every event, because queued datagrams may be
@@ -187,6 +199,7 @@
 	}
 	previous := c.view
 	c.view = membership.NewView(live, !c.config.Mechanisms.NoZoneAwareSuccessor)
+	c.viewChanged = now
 	c.continuity.Change(now, c.view)
 	c.copier.viewChanged(previous, c.view)
 	c.eachFlow(c.recountFlow)
@@ -273,9 +286,12 @@
 // walk looks through a part of the flow table: forgets what is over and
 // collects flows that the successor lacks.
 func (c *Core) walk(now time.Duration, effects *Effects) {
-	shards := walkShards
-	if c.leave.started {
+	shards := unsettledWalkShards
+	switch {
+	case c.leave.started:
 		shards = leavingWalkShards
+	case c.copier.settled(1):
+		shards = settledWalkShards
 	}
 	for range shards {
 		shard := &c.flows.Shards[c.copier.cursor]
@@ -300,7 +316,7 @@
 		return false
 	}
 	partner := c.view.PairOf(f.Hash).Partner(c.self)
-	if c.vouches(now, f) && partner != 0 && f.Replica != partner && c.config.Strategy == Replicated {
+	if c.vouches(now, f) && !f.ProposedTo(partner) && partner != 0 && f.Replica != partner && c.config.Strategy == Replicated {
 		c.copier.want(partner, f)
 	}
 	return true
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -96,8 +96,6 @@
 	Observing bool
 	// Replica is the node known to hold a copy, 0 for none.
 	Replica uint32
-	// Queued is the node that the flow waits to be copied to, 0 for none.
-	Queued uint32
 	// ReplicatedAt is when Replica last got a copy.
 	ReplicatedAt time.Duration
 	// Complete is set when this node has seen every request of the flow.
@@ -219,6 +217,17 @@
 	return known != nil && (known.State == InFlight || known.State == Answered)
 }
 
+// ProposedTo tells whether everything known of the flow was proposed to the
+// node, which then has it, or nothing came of it.
+func (f *Flow) ProposedTo(node uint32) bool {
+	for i := range f.Exchanges {
+		if !f.Exchanges[i].Proposed || f.Exchanges[i].Replica != node {
+			return false
+		}
+	}
+	return !f.Verified && len(f.Exchanges) > 0
+}
+
 // Expire forgets settled requests whose time is over.
 func (f *Flow) Expire(now time.Duration) {
 	if len(f.Exchanges) == 0 {
--- a/internal/simcli/simcli.go
+++ b/internal/simcli/simcli.go
@@ -13,6 +13,7 @@
 	"github.com/alexflint/go-arg"
 
 	"gaugeyard/internal/balancer"
+	"gaugeyard/internal/settings"
 	"gaugeyard/internal/sim"
 )
 
@@ -31,6 +32,7 @@
 	Strategy   string   `arg:"--strategy" default:"replicated" help:"replicated, owner, consistent or modulo"`
 	Without    []string `arg:"--without,separate" help:"a mechanism to turn off; see list"`
 	Scale      float64  `arg:"--scale" default:"1" help:"multiplies flows and requests"`
+	LoadFactor string   `arg:"--load-factor" help:"the placement dial in place of the deployment's"`
 }
 
 type listCommand struct{}
@@ -127,6 +129,11 @@
 		if err != nil {
 			return nil, err
 		}
+		if command.LoadFactor != "" {
+			if err := deployment.Tree.Set("", settings.KeyLoadFactor, command.LoadFactor); err != nil {
+				return nil, err
+			}
+		}
 		for _, scenario := range scenarios {
 			for seed := range max(1, command.Seeds) {
 				options := base
