--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -22,6 +22,7 @@
 type balancerCommand struct {
 	Config    string  `arg:"--config" help:"settings file (YAML) with the same names as the flags"`
 	Zone      *string `arg:"--zone" help:"zone of this machine"`
+	Cell      *string `arg:"--cell" help:"cell of this machine: the balancers that own flows together [default: main]"`
 	Data      *string `arg:"--data" help:"IP:port for datagrams of the fabric"`
 	Peer      *string `arg:"--peer" help:"IP:port for other balancers"`
 	Admin     *string `arg:"--admin" help:"IP:port on loopback for operators: /healthz /status /metrics /settings"`
@@ -40,7 +41,7 @@
 		name  string
 		value *string
 	}{
-		{"zone", c.Zone}, {"data", c.Data}, {"peer", c.Peer}, {"admin", c.Admin}, {"deliver", c.Deliver},
+		{"zone", c.Zone}, {"cell", c.Cell}, {"data", c.Data}, {"peer", c.Peer}, {"admin", c.Admin}, {"deliver", c.Deliver},
 		{"store", c.Store}, {"machines", c.Machines}, {"peers", c.Peers}, {"workers", c.Workers},
 		{"log-format", c.LogFormat}, {"bootstrap", c.Bootstrap},
 	} {
@@ -52,17 +53,18 @@
 }
 
 type arguments struct {
-	Balancer *balancerCommand          `arg:"subcommand:balancer" help:"run a balancer"`
-	Get      *operator.GetCommand      `arg:"subcommand:get" help:"print effective settings and where each comes from"`
-	Set      *operator.SetCommand      `arg:"subcommand:set" help:"give a node settings of its own"`
-	Unset    *operator.UnsetCommand    `arg:"subcommand:unset" help:"let a node inherit again, or remove it"`
-	Apply    *operator.ApplyCommand    `arg:"subcommand:apply" help:"replace the tree by a file"`
-	Diff     *operator.DiffCommand     `arg:"subcommand:diff" help:"print what apply would change"`
-	History  *operator.HistoryCommand  `arg:"subcommand:history" help:"list accepted edits"`
-	Validate *operator.ValidateCommand `arg:"subcommand:validate" help:"check a file"`
-	Status   *operator.StatusCommand   `arg:"subcommand:status" help:"print the state of balancers and back ends"`
-	Drain    *operator.DrainCommand    `arg:"subcommand:drain" help:"end new flows to a back end"`
-	Undrain  *operator.UndrainCommand  `arg:"subcommand:undrain" help:"let new flows to a back end again"`
+	Balancer  *balancerCommand           `arg:"subcommand:balancer" help:"run a balancer"`
+	Get       *operator.GetCommand       `arg:"subcommand:get" help:"print effective settings and where each comes from"`
+	Set       *operator.SetCommand       `arg:"subcommand:set" help:"give a node settings of its own"`
+	Unset     *operator.UnsetCommand     `arg:"subcommand:unset" help:"let a node inherit again, or remove it"`
+	Apply     *operator.ApplyCommand     `arg:"subcommand:apply" help:"replace the tree by a file"`
+	Diff      *operator.DiffCommand      `arg:"subcommand:diff" help:"print what apply would change"`
+	History   *operator.HistoryCommand   `arg:"subcommand:history" help:"list accepted edits"`
+	Validate  *operator.ValidateCommand  `arg:"subcommand:validate" help:"check a file"`
+	Status    *operator.StatusCommand    `arg:"subcommand:status" help:"print the state of balancers and back ends"`
+	Drain     *operator.DrainCommand     `arg:"subcommand:drain" help:"end new flows to a back end"`
+	Undrain   *operator.UndrainCommand   `arg:"subcommand:undrain" help:"let new flows to a back end again"`
+	Republish *operator.RepublishCommand `arg:"subcommand:republish" help:"write what is in force back to a store that lost it"`
 }
 
 // Description implements arg.Described.
--- a/internal/datapath/config.go
+++ b/internal/datapath/config.go
@@ -12,11 +12,15 @@
 	"strings"
 
 	"gopkg.in/yaml.v3"
+
+	"gaugeyard/internal/platform"
 )
 
 // Config is what a balancer process is started with.
 type Config struct {
 	Zone string
+	// Cell names the balancers that this one shares flows with.
+	Cell string
 	// Data receives datagrams from the fabric; Peer those of other balancers.
 	Data, Peer netip.AddrPort
 	// Admin is the HTTP port for operators; it must be on loopback.
@@ -54,6 +58,13 @@
 		c.Zone = text
 		return nil
 	}},
+	{"cell", "a name of at most 64 characters", false, func(c *Config, text string) error {
+		if text == "" || len(text) > 64 {
+			return fmt.Errorf("empty or too long")
+		}
+		c.Cell = text
+		return nil
+	}},
 	{"data", "IP:port", true, func(c *Config, text string) error { return setAddress(&c.Data, text) }},
 	{"peer", "IP:port", true, func(c *Config, text string) error { return setAddress(&c.Peer, text) }},
 	{"admin", "IP:port on loopback", true, func(c *Config, text string) error {
@@ -135,7 +146,7 @@
 // which win. It returns every fault, each with file and line or with its flag,
 // the value, and what is allowed.
 func LoadConfig(file string, flags []Flag) (Config, []error) {
-	config := Config{Workers: defaultWorkers, LogFormat: "text"}
+	config := Config{Workers: defaultWorkers, LogFormat: "text", Cell: platform.DefaultCell}
 	given := map[string]bool{}
 	var faults []error
 	if file != "" {
--- a/internal/datapath/sources.go
+++ b/internal/datapath/sources.go
@@ -80,7 +80,9 @@
 		if machines, err := platform.Machines(ctx, n.config.Machines); err == nil {
 			addresses = append([]netip.AddrPort{}, n.config.Peers...)
 			for _, machine := range machines {
-				addresses = append(addresses, machine.Peer)
+				if machine.Cell == n.config.Cell {
+					addresses = append(addresses, machine.Peer)
+				}
 			}
 		}
 		n.step(&balancer.MachineList{Addresses: addresses}, &effects)
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -92,6 +92,9 @@
 	Path string `arg:"positional,required" help:"service/zone/group/backend"`
 }
 
+// RepublishCommand writes what is in force back to a store that lost it.
+type RepublishCommand struct{ Access }
+
 // Command is one operators' command.
 type Command interface {
 	// Run executes the command and prints to out.
@@ -209,6 +212,10 @@
 	if err != nil {
 		return err
 	}
+	return a.printAccepted(out, accepted)
+}
+
+func (a Access) printAccepted(out io.Writer, accepted Accepted) error {
 	return a.print(out, accepted, func(w io.Writer) {
 		if len(accepted.Changes) == 0 {
 			fmt.Fprintf(w, "nothing to change at revision %d\n", accepted.Revision)
@@ -373,6 +380,22 @@
 	})
 }
 
+// Run implements Command.
+func (c *RepublishCommand) Run(ctx context.Context, out io.Writer) error {
+	session, err := c.session()
+	if err != nil {
+		return err
+	}
+	if c.Machines == "" {
+		return Invalid.New("--machines is missing (or GAUGEYARD_MACHINES); allowed: http URL")
+	}
+	accepted, err := session.Republish(ctx)
+	if err != nil {
+		return err
+	}
+	return c.printAccepted(out, accepted)
+}
+
 // UndrainCommand lets new flows to a back end again.
 type UndrainCommand struct{ DrainCommand }
 
--- a/internal/operator/edit.go
+++ b/internal/operator/edit.go
@@ -72,6 +72,9 @@
 	if err != nil {
 		return Accepted{}, err
 	}
+	if _, inForce := s.newestInForce(ctx); inForce > state.Head.Revision {
+		return Accepted{}, fmt.Errorf("%w: revision %d, but %d is in force; run 'gaugeyard republish' first", ErrStoreBehind, state.Head.Revision, inForce)
+	}
 	if base != 0 && base != state.Head.Revision {
 		return Accepted{}, s.conflict(ctx, base, state)
 	}
@@ -86,8 +89,52 @@
 	if len(changes) == 0 {
 		return Accepted{Revision: state.Head.Revision}, nil
 	}
+	return s.accept(ctx, state, next, state.Head.Revision+1)
+}
+
+// ErrStoreBehind means that the store came back from an older state: balancers
+// have a newer revision in force, and would ignore an edit made on the old one.
+var ErrStoreBehind = errors.New("the store is behind the balancers")
+
+// Republish writes the newest tree that a balancer has in force back to a store
+// that came back from an older state.
+func (s *Session) Republish(ctx context.Context) (Accepted, error) {
+	state, err := s.Store.Load(ctx)
+	if err != nil {
+		return Accepted{}, err
+	}
+	tree, inForce := s.newestInForce(ctx)
+	if inForce <= state.Head.Revision {
+		return Accepted{Revision: state.Head.Revision}, nil
+	}
+	return s.accept(ctx, state, tree, inForce+1)
+}
+
+// newestInForce returns the newest tree that any balancer has in force, and its
+// revision; 0 when none can be asked.
+func (s *Session) newestInForce(ctx context.Context) (settings.Tree, uint64) {
+	if s.Machines == "" {
+		return nil, 0
+	}
+	machines, err := platform.Machines(ctx, s.Machines)
+	if err != nil {
+		return nil, 0
+	}
+	newest := datapath.Push{}
+	for _, machine := range machines {
+		var push datapath.Push
+		if askJSON(ctx, machine, "/settings", &push) == nil && push.Head.Revision > newest.Head.Revision {
+			newest = push
+		}
+	}
+	return newest.Tree, newest.Head.Revision
+}
+
+// accept takes a tree through the protocol and hands it to balancers.
+func (s *Session) accept(ctx context.Context, state *platform.State, next settings.Tree, revision uint64) (Accepted, error) {
+	changes := settings.Diff(state.Tree, next)
 	change := platform.Edit{
-		Revision: state.Head.Revision + 1,
+		Revision: revision,
 		EditID:   rand.Text(),
 		Author:   s.Author,
 		Time:     time.Now().UTC(),
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -73,26 +73,29 @@
 }
 
 func ask(ctx context.Context, machine platform.Machine) BalancerStatus {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
 	status := BalancerStatus{}
 	status.Address = machine.Peer.String()
 	status.Zone = machine.Zone
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+machine.Admin.String()+"/status", nil)
-	if err != nil {
+	if err := askJSON(ctx, machine, "/status", &status.Status); err != nil {
 		status.Error = err.Error()
-		return status
+	}
+	return status
+}
+
+// askJSON reads what a balancer serves at the path.
+func askJSON(ctx context.Context, machine platform.Machine, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+machine.Admin.String()+path, nil)
+	if err != nil {
+		return err
 	}
 	reply, err := http.DefaultClient.Do(request)
 	if err != nil {
-		status.Error = err.Error()
-		return status
+		return err
 	}
 	defer reply.Body.Close()
-	if err := json.NewDecoder(reply.Body).Decode(&status.Status); err != nil {
-		status.Error = err.Error()
-	}
-	return status
+	return json.NewDecoder(reply.Body).Decode(into)
 }
 
 // aggregate adds up the back ends of all balancers.
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -20,13 +20,18 @@
 
 // Machine is one balancer in the machine list.
 type Machine struct {
-	Zone  string
+	Zone string
+	// Cell names the balancers that own flows together; empty is DefaultCell.
+	Cell  string
 	State MachineState
 	// Data receives datagrams from the fabric, Peer those from balancers, and
 	// Admin is the HTTP address for operators.
 	Data, Peer, Admin netip.AddrPort
 }
 
+// DefaultCell is the cell of machines that name none.
+const DefaultCell = "main"
+
 // TargetGroup is one entry of the machine list, in the format of Prometheus HTTP
 // service discovery.
 type TargetGroup struct {
@@ -37,6 +42,7 @@
 // MachineLabels are the labels of one machine.
 type MachineLabels struct {
 	Zone  string       `json:"zone"`
+	Cell  string       `json:"cell,omitempty"`
 	State MachineState `json:"state"`
 	Data  string       `json:"data"`
 	Peer  string       `json:"peer"`
@@ -46,13 +52,16 @@
 func (m Machine) Group() TargetGroup {
 	return TargetGroup{
 		Targets: []string{m.Admin.String()},
-		Labels:  MachineLabels{Zone: m.Zone, State: m.State, Data: m.Data.String(), Peer: m.Peer.String()},
+		Labels:  MachineLabels{Zone: m.Zone, Cell: m.Cell, State: m.State, Data: m.Data.String(), Peer: m.Peer.String()},
 	}
 }
 
 // Machine decodes an entry of the list.
 func (g TargetGroup) Machine() (Machine, error) {
-	machine := Machine{Zone: g.Labels.Zone, State: g.Labels.State}
+	machine := Machine{Zone: g.Labels.Zone, Cell: g.Labels.Cell, State: g.Labels.State}
+	if machine.Cell == "" {
+		machine.Cell = DefaultCell
+	}
 	if len(g.Targets) != 1 {
 		return machine, fmt.Errorf("machine list: an entry has %d targets, not 1", len(g.Targets))
 	}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,143 @@
+package settings
+
+import (
+	"maps"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gaugeyard/examples"
+)
+
+func example(t testing.TB) Tree {
+	t.Helper()
+	document, err := examples.Files.ReadFile("litera.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tree, faults := Parse(document)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return tree
+}
+
+func TestParseNamesEveryFaultWithItsLine(t *testing.T) {
+	cases := []struct{ guards, document, fault string }{
+		{"unknown settings", "colour: red", `line 1: /: unknown setting "colour"`},
+		{"values out of range", "slots: 0", `line 1: /: slots="0": out of range; allowed: 1 to 4096`},
+		{"durations without a unit", "flow_idle: 5", `not a duration with a unit`},
+		{"sizes without a unit", "max_datagram: 4096", `not a size with a unit`},
+		{"settings at the wrong level", "weight: 2", `weight cannot be set on a root`},
+		{"values given twice", "slots: 2\nslots: 3", `line 2: /: slots: given twice`},
+		{"missing addresses", "services: {a: {slots: 2}}", `a: address is missing`},
+		{"dangling references", "services: {a: {address: '1.2.3.4:5', backends_from: b}}", `service b does not exist`},
+		{"circular references", "services: {a: {address: '1.2.3.4:5', backends_from: b}, b: {address: '1.2.3.4:6', backends_from: a}}", `circular reference`},
+		{"one address for two services", "services: {a: {address: '1.2.3.4:5'}, b: {address: '1.2.3.4:5'}}", `is also the address of a`},
+		{"names with capitals", "services: {A: {address: '1.2.3.4:5'}}", `"A" is not a name`},
+		{"documents that are no mapping", "- 1", `wants a mapping`},
+	}
+	for _, c := range cases {
+		_, faults := Parse([]byte(c.document))
+		found := false
+		for _, fault := range faults {
+			found = found || strings.Contains(fault.Error(), c.fault)
+		}
+		if !found {
+			t.Errorf("%s: no %q in %v", c.guards, c.fault, faults)
+		}
+	}
+}
+
+func TestChildrenInheritAndOverride(t *testing.T) {
+	tree := example(t)
+	if err := tree.Set("glyphs/hala-vitan", KeySlots, "7"); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		path        Path
+		value, from string
+	}{
+		{"glyphs/hala-vitan/main/s12", "7", "glyphs/hala-vitan"},
+		{"glyphs/hala-pipera/main/s01", "2", "/"},
+	} {
+		if value, from := tree.Effective(c.path, KeySlots); value != c.value || from != c.from {
+			t.Errorf("%s: %s from %s", c.path, value, from)
+		}
+	}
+	if _, from := tree.Effective("glyphs", KeyRetryBudget); from != "default" {
+		t.Errorf("retry_budget comes from %s", from)
+	}
+	snapshot := Resolve(tree, 3)
+	if len(snapshot.Backends) != 18 || len(snapshot.Services) != 3 {
+		t.Errorf("%d back ends, %d services", len(snapshot.Backends), len(snapshot.Services))
+	}
+	glyphs, licences := snapshot.Services[0], snapshot.Services[1]
+	if glyphs.Backends[0] != licences.Backends[0] {
+		t.Error("services that share back ends do not share them")
+	}
+}
+
+func TestFormatReadsBack(t *testing.T) {
+	tree := example(t)
+	document, err := tree.Format()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, faults := Parse(document)
+	if len(faults) > 0 || len(Diff(tree, again)) > 0 {
+		t.Errorf("%v %v", faults, Diff(tree, again))
+	}
+}
+
+// TestDiffLeadsFromOneTreeToTheOther guards what balancers send each other.
+func TestDiffLeadsFromOneTreeToTheOther(t *testing.T) {
+	base := example(t)
+	paths := base.Paths()
+	rapid.Check(t, func(t *rapid.T) {
+		mutate := func(tree Tree) {
+			for range rapid.IntRange(0, 5).Draw(t, "edits") {
+				path := rapid.SampledFrom(paths).Draw(t, "path")
+				switch {
+				case rapid.Bool().Draw(t, "remove"):
+					if path.Level() == LevelBackend {
+						tree.Remove(path)
+					}
+				case path.Level() == LevelBackend && tree[path] != nil:
+					tree[path][KeyWeight] = rapid.SampledFrom([]string{"2", "3"}).Draw(t, "weight")
+				}
+			}
+		}
+		before, after := base.Clone(), base.Clone()
+		mutate(before)
+		mutate(after)
+		got := before.Clone()
+		if err := got.Apply(Diff(before, after)); err != nil {
+			t.Fatal(err)
+		}
+		if len(Diff(got, after)) > 0 {
+			t.Fatalf("left: %v", Diff(got, after))
+		}
+		for path := range maps.Keys(got) {
+			if path != "" && got[path.Parent()] == nil {
+				t.Fatalf("%s has no parent", path)
+			}
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	document, err := examples.Files.ReadFile("forecast.yaml")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(document)
+	f.Add([]byte("slots: 2\nservices: {a: }"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		tree, faults := Parse(data)
+		if len(faults) == 0 {
+			Resolve(tree, 1)
+		}
+	})
+}
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -73,6 +73,12 @@
 // Run carries out one run.
 func Run(options Options) Result {
 	w := newWorld(options)
+	w.run()
+	return w.result()
+}
+
+// run carries out the world's scenario.
+func (w *world) run() {
 	w.build()
 	for _, n := range w.nodes {
 		n.start(true)
@@ -86,10 +92,9 @@
 		}
 	})
 	w.at(trafficStart, w.startTraffic)
-	options.Scenario.events(w)
-	w.runUntil(options.Scenario.Length)
+	w.options.Scenario.events(w)
+	w.runUntil(w.options.Scenario.Length)
 	w.truth.finish()
-	return w.result()
 }
 
 // startTraffic opens feeds and begins lookups and uploads.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -56,6 +56,8 @@
 	// lyingLoad makes half of the back ends report no load, and the others too much.
 	lyingLoad bool
 	snapshot  *settings.Snapshot
+	// meter times the core; nil measures nothing.
+	meter *meter
 }
 
 // event is something that happens at a virtual time.
--- a/internal/simcli/simcli.go
+++ b/internal/simcli/simcli.go
@@ -37,9 +37,18 @@
 
 type listCommand struct{}
 
+type scaleCommand struct {
+	Nodes []int     `arg:"--nodes" help:"numbers of hollow nodes"`
+	Cell  []int     `arg:"--cell" help:"balancers in a cell, over three zones"`
+	Load  []float64 `arg:"--load" help:"multiplies a cell's flows and requests"`
+	Seed  uint64    `arg:"--seed" default:"1"`
+	Plot  string    `arg:"--plot" help:"write an SVG of bytes and convergence against nodes"`
+}
+
 type arguments struct {
-	Run  *runCommand  `arg:"subcommand:run" help:"run scenarios; one JSON object a line; status 1 when a promise broke"`
-	List *listCommand `arg:"subcommand:list" help:"list deployments, scenarios, strategies and mechanisms"`
+	Scale *scaleCommand `arg:"subcommand:scale" help:"measure hollow nodes; one JSON object a line"`
+	Run   *runCommand   `arg:"subcommand:run" help:"run scenarios; one JSON object a line; status 1 when a promise broke"`
+	List  *listCommand  `arg:"subcommand:list" help:"list deployments, scenarios, strategies and mechanisms"`
 }
 
 // Main runs the command line and returns the exit status.
@@ -61,6 +70,8 @@
 	case parsed.List != nil:
 		list(out)
 		return exitKept
+	case parsed.Scale != nil:
+		return scale(parsed.Scale, out, errOut)
 	case parsed.Run != nil:
 		return run(parsed.Run, out, errOut)
 	}
