--- /dev/null
+++ b/internal/balancer/propose.go
@@ -0,0 +1,187 @@
+package balancer
+
+import (
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/flow"
+	"gaugeyard/internal/membership"
+	"gaugeyard/internal/placement"
+)
+
+// propose places a flow that this owner cannot vouch for. The successor has the
+// last word: it returns the pin it holds, or records the proposal and sends the
+// datagram on itself. So no new flow takes effect on one node's word alone.
+func (c *Core) propose(x *exchangeContext, f *flow.Flow) {
+	if c.undecided(x) {
+		c.drop(errkind.Undecided)
+		return
+	}
+	if c.powerless() {
+		c.standBack(x, f)
+		return
+	}
+	if exchange := f.Find(x.packet.MessageID); exchange != nil && exchange.State == flow.GivenUp {
+		c.answer(x.packet, errkind.OutcomeUnknown, x.service.RefusalRetry, x.effects)
+		return
+	}
+	kind := c.proposal(x, f)
+	// What this node knows of a flow from an answer alone may lack refusals.
+	covers := f.Complete && c.covers(x)
+	if x.pair.Successor == 0 || c.config.Strategy != Replicated {
+		c.decideAlone(x, f, kind, covers)
+		return
+	}
+	relay := Relay{
+		Kind:       RelayPropose,
+		Hops:       x.hops,
+		HeadCovers: covers,
+		Error:      kind,
+		Backend:    c.addressOf(f),
+		Refusals:   refusalsOf(f, x.now),
+		Packet:     x.packet,
+	}
+	if replaced := c.registry.get(f.Replaced); replaced != nil {
+		relay.Replaces = replaced.address
+	}
+	if f.Find(x.packet.MessageID) == nil {
+		c.note(x, f, kind)
+		f.Find(x.packet.MessageID).Proposed = true
+	}
+	c.noteAsked(x, f)
+	c.relay(x.pair.Successor, relay, x.effects)
+}
+
+// undecided tells whether the pair is so new that its members may not agree on
+// it yet. A request that may not run twice then waits for its next copy.
+func (c *Core) undecided(x *exchangeContext) bool {
+	settled := c.continuity.Settled(membership.PartitionOf(x.hash), x.now)
+	return !settled && !x.service.Repeatable && !c.config.Mechanisms.NoContinuity && c.config.Strategy == Replicated
+}
+
+// powerless tells whether this node hears no majority, so that it must not
+// decide where a new flow goes: others may have placed it already, and a back
+// end may be leaving without this node's knowledge.
+func (c *Core) powerless() bool {
+	return !c.quorum && !c.config.Mechanisms.NoQuorum && c.config.Strategy == Replicated
+}
+
+// standBack leaves the first copy of a request to the balancers that hear a
+// majority: the fabric may take the next copy to one of them. A copy that comes
+// back here all the same is answered at once.
+func (c *Core) standBack(x *exchangeContext, f *flow.Flow) {
+	if f.Find(x.packet.MessageID) != nil {
+		c.answer(x.packet, errkind.OutcomeUnknown, x.service.RefusalRetry, x.effects)
+		return
+	}
+	c.drop(errkind.Undecided)
+	f.Exchanges = append(f.Exchanges, flow.Exchange{
+		MessageID: x.packet.MessageID,
+		Token:     x.packet.Token,
+		State:     flow.GivenUp,
+		Until:     x.now + x.service.RequestLifetime,
+	})
+}
+
+// proposal returns the refusal that an earlier copy of the request met, or
+// makes sure that the flow has a pin.
+func (c *Core) proposal(x *exchangeContext, f *flow.Flow) errkind.Kind {
+	exchange := f.Find(x.packet.MessageID)
+	switch {
+	case exchange != nil && exchange.State == flow.Refused:
+		return exchange.Kind
+	case f.Backend != 0:
+		return errkind.None
+	}
+	return c.place(x, f)
+}
+
+// severalReplicas marks a refusal that was proposed to more than one successor.
+const severalReplicas = ^membership.ID(0)
+
+// noteAsked keeps in mind which successor may have told the caller of a refusal.
+func (c *Core) noteAsked(x *exchangeContext, f *flow.Flow) {
+	exchange := f.Find(x.packet.MessageID)
+	if exchange.State != flow.Refused || exchange.Replica == x.pair.Successor {
+		return
+	}
+	if exchange.Replica == 0 {
+		exchange.Replica = x.pair.Successor
+		return
+	}
+	exchange.Replica = severalReplicas
+}
+
+// note records a request as refused, or as in flight through the successor.
+func (c *Core) note(x *exchangeContext, f *flow.Flow, kind errkind.Kind) {
+	if kind != errkind.None {
+		c.recordRefusal(x, f, kind)
+		return
+	}
+	c.begin(x, f, true)
+}
+
+// beginOnce records the request unless an earlier copy did.
+func (c *Core) beginOnce(x *exchangeContext, f *flow.Flow, replicated bool) {
+	if f.Find(x.packet.MessageID) == nil {
+		c.begin(x, f, replicated)
+	}
+}
+
+// place picks the back end of a new flow and pins it, or says why none is free.
+func (c *Core) place(x *exchangeContext, f *flow.Flow) errkind.Kind {
+	candidates, backends := c.candidates(x.now, x.service, x.effects)
+	factor := x.service.LoadFactor
+	index, result := placement.Choose(x.hash, candidates, factor)
+	switch result {
+	case placement.NoneOpen:
+		return errkind.NoBackend
+	case placement.FlowsFull:
+		return errkind.ConnectionsFull
+	case placement.InFlightFull:
+		return errkind.SlotsFull
+	case placement.Deviates:
+		c.Counters.Deviating.Add(1)
+	}
+	if !c.config.Mechanisms.NoDeadlineAdmission && !c.config.Mechanisms.NoAdmission && c.tooLate(x.service, backends[index]) {
+		return errkind.DeadlineTooShort
+	}
+	c.Counters.NewFlows.Add(1)
+	c.pin(f, backends[index])
+	return errkind.None
+}
+
+// covers tells whether this node has a record of every request that may still
+// be repeated in the flow's partition.
+func (c *Core) covers(x *exchangeContext) bool {
+	if c.config.Mechanisms.NoContinuity {
+		return true
+	}
+	partition := membership.PartitionOf(x.hash)
+	return c.continuity.Covers(partition, x.now, x.service.RequestLifetime) && (c.quorum || c.config.Mechanisms.NoQuorum)
+}
+
+// decideAlone settles a proposal where there is no successor to ask.
+func (c *Core) decideAlone(x *exchangeContext, f *flow.Flow, kind errkind.Kind, covers bool) {
+	if !covers && !x.service.Repeatable && c.config.Strategy == Replicated {
+		c.markAmbiguous(x, f)
+		return
+	}
+	f.Verified = true
+	if kind != errkind.None {
+		c.recordRefusal(x, f, kind)
+		c.answer(x.packet, kind, x.service.RefusalRetry, x.effects)
+		return
+	}
+	c.beginOnce(x, f, false)
+	c.forwardPinned(x, f, false)
+}
+
+// markAmbiguous answers that nobody knows whether the request ran, and keeps
+// answering so while copies of older requests may arrive.
+func (c *Core) markAmbiguous(x *exchangeContext, f *flow.Flow) {
+	c.release(f)
+	f.Backend = 0
+	f.Verified = false
+	f.Complete = false
+	f.AmbiguousUntil = x.now + x.service.RequestLifetime
+	c.answer(x.packet, errkind.OutcomeUnknown, x.service.RefusalRetry, x.effects)
+}
--- /dev/null
+++ b/internal/balancer/refuse.go
@@ -0,0 +1,77 @@
+package balancer
+
+import (
+	"time"
+
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/flow"
+)
+
+// refuse records that a request does not run and tells the caller through the
+// successor, so that the record outlives this node.
+func (c *Core) refuse(x *exchangeContext, f *flow.Flow, kind errkind.Kind) {
+	c.recordRefusal(x, f, kind)
+	f.Find(x.packet.MessageID).Proposed = true
+	if f.Replica != x.pair.Successor {
+		// The copy that an earlier successor holds lacks this refusal.
+		f.Replica = 0
+	}
+	c.sendRefusal(x, f, kind)
+}
+
+func (c *Core) recordRefusal(x *exchangeContext, f *flow.Flow, kind errkind.Kind) {
+	if f.Find(x.packet.MessageID) != nil {
+		return
+	}
+	f.Exchanges = append(f.Exchanges, flow.Exchange{
+		MessageID: x.packet.MessageID,
+		Token:     x.packet.Token,
+		State:     flow.Refused,
+		Kind:      kind,
+		Until:     x.now + x.service.RequestLifetime,
+	})
+}
+
+func (c *Core) sendRefusal(x *exchangeContext, f *flow.Flow, kind errkind.Kind) {
+	if c.config.Mechanisms.NoRefusalRecord {
+		f.Remove(x.packet.MessageID)
+	}
+	if x.pair.Successor == 0 || c.config.Strategy != Replicated || c.config.Mechanisms.NoRefusalRecord {
+		c.answer(x.packet, kind, x.service.RefusalRetry, x.effects)
+		return
+	}
+	relay := Relay{
+		Kind:     RelayRefuse,
+		Hops:     x.hops,
+		Error:    kind,
+		Backend:  c.addressOf(f),
+		Refusals: refusalsOf(f, x.now),
+		Packet:   x.packet,
+	}
+	c.noteAsked(x, f)
+	c.relay(x.pair.Successor, relay, x.effects)
+}
+
+// refusalsOf lists a flow's refusals for a peer.
+func refusalsOf(f *flow.Flow, now time.Duration) []Refusal {
+	var refusals []Refusal
+	for _, exchange := range f.Refusals() {
+		if exchange.Until > now {
+			left := uint32((exchange.Until - now) / time.Millisecond)
+			refusals = append(refusals, Refusal{MessageID: exchange.MessageID, Kind: exchange.Kind, LeftMilliseconds: left})
+		}
+	}
+	return refusals
+}
+
+// mergeRefusals adds a peer's refusals to a flow.
+func mergeRefusals(f *flow.Flow, refusals []Refusal, now time.Duration) {
+	for _, refusal := range refusals {
+		f.Merge(flow.Exchange{
+			MessageID: refusal.MessageID,
+			State:     flow.Refused,
+			Kind:      refusal.Kind,
+			Until:     now + time.Duration(refusal.LeftMilliseconds)*time.Millisecond,
+		})
+	}
+}
--- /dev/null
+++ b/internal/balancer/view.go
@@ -0,0 +1,206 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"gaugeyard/internal/flow"
+	"gaugeyard/internal/membership"
+)
+
+// othersSettled tells whether the view has stood for so long that every peer has
+// said since then whether it is settled, and all are.
+func (c *Core) othersSettled(now time.Duration) bool {
+	return now-c.viewChanged >= viewStable && c.detector.AllSettled(now)
+}
+
+// notePause notices that this node stood still for so long that its peers have
+// gone on without it. Nothing that it holds may be vouched for then, and it
+// joins anew. It runs before every event, because queued datagrams may be
+// handled before the first tick.
+func (c *Core) notePause(now time.Duration, effects *Effects) {
+	if now-time.Duration(c.lastTick.Load()) <= membership.DeadAfter || c.config.Mechanisms.NoContinuity {
+		return
+	}
+	c.control.Lock()
+	defer c.control.Unlock()
+	last := time.Duration(c.lastTick.Load())
+	if !c.ticked || now-last <= membership.DeadAfter {
+		return
+	}
+	c.lastTick.Store(int64(now))
+	c.detector.Resume(last, now)
+	c.detector.Withdraw()
+	c.joinAt = now + membership.DeadAfter
+	c.stopVouching(now)
+	effects.add(Effect{Kind: StateChanged, Subject: "self", State: "resumed after a pause"})
+	c.refreshView(now, effects)
+}
+
+// stopVouching forgets since when this node holds every record, because others
+// may have decided without it.
+func (c *Core) stopVouching(now time.Duration) {
+	c.breaks++
+	c.lastBreak = now
+	c.continuity.Break(now, c.view)
+	c.distrust()
+}
+
+// recopy forgets what a peer was known to hold, for one that no longer vouches
+// for it.
+func (c *Core) recopy(peer membership.ID) {
+	c.copier.forget(peer)
+	c.eachFlow(func(f *flow.Flow) {
+		if f.Replica == peer {
+			f.Replica = 0
+		}
+	})
+}
+
+// distrust marks every flow as not vouched for.
+func (c *Core) distrust() {
+	c.eachFlow(func(f *flow.Flow) {
+		f.Verified = false
+		f.Complete = false
+	})
+}
+
+// eachFlow calls visit for every flow, under the lock of its shard.
+func (c *Core) eachFlow(visit func(f *flow.Flow)) {
+	for i := range c.flows.Shards {
+		shard := &c.flows.Shards[i]
+		shard.Lock()
+		shard.Walk(func(f *flow.Flow) bool {
+			visit(f)
+			return true
+		})
+		shard.Unlock()
+	}
+}
+
+// stableQuorum tells whether this node has heard a majority for so long that it
+// has heard all who can be heard, so that none of them is taken for gone.
+func (c *Core) stableQuorum(now time.Duration) bool {
+	if !c.detector.Quorum(now) {
+		c.quorumSince = 0
+		return false
+	}
+	if c.quorumSince == 0 {
+		c.quorumSince = now
+	}
+	return now-c.quorumSince >= quorumSettle
+}
+
+// refreshView computes the live members and, when they changed, the new pairs.
+func (c *Core) refreshView(now time.Duration, effects *Effects) {
+	quorum := c.stableQuorum(now)
+	if quorum != c.quorum {
+		c.quorum = quorum
+		state := "hears a majority"
+		if !quorum {
+			state = "hears no majority"
+		}
+		effects.add(Effect{Kind: StateChanged, Subject: "membership", State: state})
+	}
+	if quorum && c.detector.Joined() {
+		c.detector.GoOn(now)
+	}
+	live := c.detector.Live(now)
+	if slices.Equal(live, c.view.Members) {
+		return
+	}
+	for _, old := range c.view.Members {
+		if !slices.Contains(live, old) {
+			effects.add(Effect{Kind: StateChanged, Subject: old.Address.String(), State: "left the view"})
+		}
+	}
+	for _, member := range live {
+		if !slices.Contains(c.view.Members, member) {
+			effects.add(Effect{Kind: StateChanged, Subject: member.Address.String(), State: "joined the view"})
+		}
+	}
+	previous := c.view
+	c.view = membership.NewView(live, !c.config.Mechanisms.NoZoneAwareSuccessor)
+	c.viewChanged = now
+	c.continuity.Change(now, c.view)
+	c.copier.viewChanged(previous, c.view)
+	c.eachFlow(c.recountFlow)
+}
+
+// recountFlow brings a flow's ownership in line with a new view.
+func (c *Core) recountFlow(f *flow.Flow) {
+	pair := c.view.PairOf(f.Hash)
+	if pair.Owner != c.self {
+		c.release(f)
+		f.Complete = false
+	}
+	if !pair.Has(c.self) {
+		// Others may change the flow from here on.
+		f.Verified = false
+	}
+	if pair.Owner == c.self && !f.Owner && f.Backend != 0 {
+		f.Complete = false
+		if target := c.registry.get(f.Backend); target != nil {
+			c.pin(f, target)
+		}
+	}
+}
+
+func (c *Core) sendHeartbeats(now time.Duration, effects *Effects) {
+	c.heartbeats++
+	for _, target := range c.detector.Targets(c.heartbeats) {
+		heartbeat := &Heartbeat{
+			Revision: c.snapshot.Revision,
+			Absent:   !c.detector.Joined(),
+			Leaving:  c.leave.announced,
+			Settled:  c.copier.settled(1),
+			GoneOn:   target.GoneOn,
+			Breaks:   c.breaks,
+			Sequence: c.heartbeats,
+		}
+		if target.Introduce {
+			heartbeat.Introduction = &Introduction{Address: c.config.Self.Address, Zone: c.config.Self.Zone}
+		}
+		c.sendControl(now, target.Address, &Message{From: c.self, Heartbeat: heartbeat}, essential, effects)
+	}
+}
+
+// senderOf returns who sent a heartbeat, unless that is not known yet.
+func (c *Core) senderOf(from membership.ID, heartbeat *Heartbeat) (membership.Member, bool) {
+	if introduction := heartbeat.Introduction; introduction != nil {
+		return membership.Member{ID: from, Zone: introduction.Zone, Address: introduction.Address}, true
+	}
+	return c.detector.Known(from)
+}
+
+func (c *Core) handleHeartbeat(now time.Duration, from membership.ID, heartbeat *Heartbeat, effects *Effects) {
+	member, known := c.senderOf(from, heartbeat)
+	if !known {
+		return
+	}
+	report := membership.Report{
+		Sequence: heartbeat.Sequence,
+		Absent:   heartbeat.Absent,
+		Leaving:  heartbeat.Leaving,
+		Settled:  heartbeat.Settled,
+		Breaks:   heartbeat.Breaks,
+	}
+	fresh, broke := c.detector.Heard(now, member, report)
+	if !fresh {
+		return
+	}
+	if broke {
+		c.recopy(from)
+	}
+	if heartbeat.GoneOn && !c.config.Mechanisms.NoContinuity && now-c.lastBreak > membership.HeartbeatInterval {
+		c.stopVouching(now)
+		effects.add(Effect{Kind: StateChanged, Subject: member.Address.String(), State: "went on without this node"})
+	}
+	c.refreshView(now, effects)
+	behind := heartbeat.Revision > c.snapshot.Revision && !c.config.Mechanisms.NoSettingsGossip
+	if behind && now-c.lastRequest >= settingsRequestInterval {
+		c.lastRequest = now
+		request := &SettingsRequest{Have: c.snapshot.Revision}
+		c.sendControl(now, member.Address, &Message{From: c.self, SettingsRequest: request}, essential, effects)
+	}
+}
