Peer messages with impossible values cannot stop a balancer

Found by reading the relay code as a newcomer: a relay without a back end, an error kind outside the list, a settings path of six parts and an introduction without an address each led to a panic.

--- a/internal/balancer/successor.go
+++ b/internal/balancer/successor.go
@@ -39,12 +39,13 @@
 	shard := c.flows.ShardOf(x.hash)
 	shard.Lock()
 	defer shard.Unlock()
-	if shard.Flows[x.packet.Flow] != nil {
+	target := c.registry.at(relay.Backend)
+	if shard.Flows[x.packet.Flow] != nil || target == nil {
 		return
 	}
 	f := c.insert(x, shard)
 	f.Complete = false
-	c.pin(f, c.registry.at(relay.Backend))
+	c.pin(f, target)
 	mergeRefusals(f, relay.Refusals, x.now)
 }
 
@@ -54,6 +55,11 @@
 	shard.Lock()
 	defer shard.Unlock()
 	f := shard.Flows[x.packet.Flow]
+	target := c.registry.at(relay.Backend)
+	if target == nil && relay.Error == errkind.None {
+		c.drop(errkind.Malformed)
+		return
+	}
 	if relay.Kind == RelayPropose && x.packet.Kind >= Answer {
 		c.verify(x, f, relay)
 		return
@@ -69,7 +75,6 @@
 		f = &flow.Flow{Key: x.packet.Flow, Hash: x.hash}
 		shard.Add(f)
 	}
-	target := c.registry.at(relay.Backend)
 	c.release(f)
 	if target != nil {
 		// A datagram without a pin never clears one: it may have been overtaken.
@@ -239,6 +244,10 @@
 		c.deliver(x.packet, x.effects)
 		return
 	}
+	if x.packet.Kind != Request {
+		c.drop(errkind.Malformed)
+		return
+	}
 	if f.Backend == 0 && f.Find(x.packet.MessageID) == nil {
 		c.propose(x, f)
 		return
--- a/internal/datapath/datapath_bench_test.go
+++ b/internal/datapath/datapath_bench_test.go
@@ -24,7 +24,7 @@
 )
 
 // benchCore returns a core that serves the Litera settings alone.
-func benchCore(b *testing.B) *balancer.Core {
+func benchCore(b testing.TB) *balancer.Core {
 	b.Helper()
 	document, err := examples.Files.ReadFile("litera.yaml")
 	if err != nil {
@@ -59,7 +59,7 @@
 	return flow.Key{Caller: netip.AddrPortFrom(address, 4000), Service: benchService}
 }
 
-func encode(b *testing.B, header []byte, m message.Message) []byte {
+func encode(b testing.TB, header []byte, m message.Message) []byte {
 	b.Helper()
 	buffer := make([]byte, len(header)+128)
 	copy(buffer, header)
@@ -70,7 +70,7 @@
 	return buffer[:len(header)+length]
 }
 
-func requestOf(b *testing.B, key flow.Key, messageID int32) []byte {
+func requestOf(b testing.TB, key flow.Key, messageID int32) []byte {
 	header, err := wire.RequestHeader(key)
 	if err != nil {
 		b.Fatal(err)
--- /dev/null
+++ b/internal/datapath/fuzz_test.go
@@ -0,0 +1,49 @@
+package datapath
+
+import (
+	"testing"
+	"time"
+
+	"gaugeyard/internal/balancer"
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/settings"
+	"gaugeyard/internal/wire"
+)
+
+// FuzzPeerMessage hands what decodes to a core: no peer message may stop it.
+func FuzzPeerMessage(f *testing.F) {
+	key := benchKey(1)
+	request := requestOf(f, key, 3)
+	const peer = 9
+	messages := []*balancer.Message{
+		{From: peer, Heartbeat: &balancer.Heartbeat{Sequence: 1, Revision: 9, Introduction: &balancer.Introduction{Address: benchBackend, Zone: "b"}}},
+		{From: peer, SettingsRequest: &balancer.SettingsRequest{}},
+		{From: peer, SettingsPart: &balancer.SettingsPart{Revision: 5, Count: 1, Changes: []settings.Change{{Path: "a/b/c/d/e/f", Key: "slots", After: "2"}}}},
+		{From: peer, Copy: &balancer.Copy{Records: []balancer.Record{{Service: benchService, Backend: benchBackend, Refused: []balancer.RefusedCaller{{Index: 4}}}}}},
+		{From: peer, CopyDone: &balancer.CopyDone{Sequence: 1}},
+		{From: peer, Grant: &balancer.Grant{Partitions: []byte{1}}},
+	}
+	for kind := balancer.RelayToOwner; kind <= balancer.RelayAmbiguous; kind++ {
+		for _, backend := range []balancer.Relay{{Backend: benchBackend}, {Error: errkind.SlotsFull}, {}} {
+			relay := backend
+			relay.Kind, relay.Data = kind, request
+			messages = append(messages, &balancer.Message{From: peer, Relay: &relay})
+		}
+	}
+	for _, message := range messages {
+		datagram, err := wire.EncodeMessage(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(datagram)
+	}
+	core, decoder := benchCore(f), wire.NewDecoder()
+	greet := messages[0]
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var effects balancer.Effects
+		core.Step(benchNow, &balancer.PeerMessage{Message: greet}, &effects)
+		if message, _, err := decoder.DecodeMessage(data); err == nil {
+			core.Step(benchNow+time.Millisecond, &balancer.PeerMessage{Message: message}, &effects)
+		}
+	})
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -102,6 +102,11 @@
 	return table[k]
 }
 
+// Valid tells whether the kind is in the list; what comes from a peer may not be.
+func (k Kind) Valid() bool {
+	return k < kindCount
+}
+
 // String returns the kind's counter label.
 func (k Kind) String() string {
 	return k.Answer().Name
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"os"
 	"strings"
 	"testing"
 
@@ -127,6 +128,23 @@
 	})
 }
 
+// TestReferenceIsWhole guards the operators' page against settings it lacks.
+func TestReferenceIsWhole(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATORS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, field := range Fields {
+		row := "| `" + string(field.Key) + "` | "
+		if field.Default != "" {
+			row += "`" + field.Default + "`"
+		}
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/OPERATORS.md has no row %q", row)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	document, err := examples.Files.ReadFile("forecast.yaml")
 	if err != nil {
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -106,6 +106,9 @@
 		return fmt.Errorf("%s: unknown setting %q", path, key)
 	}
 	level := path.Level()
+	if level >= levelCount {
+		return fmt.Errorf("%s: at most service/zone/group/backend", path)
+	}
 	if level < field.First || level > field.Last || (key == KeyAddress && level != LevelService && level != LevelBackend) {
 		return fmt.Errorf("%s: %s cannot be set on a %s", path, key, level)
 	}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -50,6 +50,9 @@
 	if bodies(message) != 1 {
 		return nil, errkind.Malformed, errkind.New(errkind.Malformed, "peer message with %d bodies", bodies(message))
 	}
+	if !sound(message) {
+		return nil, errkind.Malformed, errkind.New(errkind.Malformed, "peer message with values out of range")
+	}
 	if message.Relay == nil {
 		return message, errkind.None, nil
 	}
@@ -60,6 +63,36 @@
 	return message, errkind.None, nil
 }
 
+// sound tells whether the values of a message are ones that a peer can mean.
+func sound(m *balancer.Message) bool {
+	if m.Heartbeat != nil && m.Heartbeat.Introduction != nil {
+		return m.Heartbeat.Introduction.Address.IsValid()
+	}
+	if m.Relay != nil {
+		return m.Relay.Error.Valid() && soundRefusals(m.Relay.Refusals)
+	}
+	if m.Copy == nil {
+		return true
+	}
+	for _, record := range m.Copy.Records {
+		for _, refused := range record.Refused {
+			if !soundRefusals(refused.Refusals) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func soundRefusals(refusals []balancer.Refusal) bool {
+	for _, refusal := range refusals {
+		if !refusal.Kind.Valid() {
+			return false
+		}
+	}
+	return true
+}
+
 // bodies counts the pointers of the message that are set.
 func bodies(m *balancer.Message) int {
 	count := 0
