--- a/internal/datapath/node.go
+++ b/internal/datapath/node.go
@@ -159,14 +159,15 @@
 	}
 }
 
-// event decodes one datagram; it returns nil for one that was counted and dropped.
-type decode func(data []byte, packet *balancer.Packet) balancer.Event
+// decode reads one datagram into the worker's own event or a new one; it returns
+// nil for a datagram that was counted and dropped.
+type decode func(data []byte, own *balancer.Datagram) balancer.Event
 
 // receive is one worker: receive, decode, step, perform. Its memory is reused
 // for each datagram.
 func (n *Node) receive(ctx context.Context, socket *net.UDPConn, decode decode) error {
 	buffer := make([]byte, wire.MaxDatagram)
-	var packet balancer.Packet
+	own := &balancer.Datagram{Packet: &balancer.Packet{}}
 	var effects balancer.Effects
 	for {
 		length, _, err := socket.ReadFromUDPAddrPort(buffer)
@@ -177,13 +178,14 @@
 			// An earlier send met a closed port; the socket itself is sound.
 			continue
 		}
-		if event := decode(buffer[:length], &packet); event != nil {
+		if event := decode(buffer[:length], own); event != nil {
 			n.step(event, &effects)
 		}
 	}
 }
 
-func (n *Node) decodeData(data []byte, packet *balancer.Packet) balancer.Event {
+func (n *Node) decodeData(data []byte, own *balancer.Datagram) balancer.Event {
+	packet := own.Packet
 	if err := n.decoder.Decode(data, packet); err != nil {
 		n.core.Counters.Drop(errkind.Malformed)
 		return nil
@@ -192,10 +194,10 @@
 		n.core.Counters.Drop(errkind.Oversized)
 		return nil
 	}
-	return &balancer.Datagram{Packet: packet}
+	return own
 }
 
-func (n *Node) decodePeer(data []byte, _ *balancer.Packet) balancer.Event {
+func (n *Node) decodePeer(data []byte, _ *balancer.Datagram) balancer.Event {
 	message, kind, err := n.decoder.DecodeMessage(data)
 	if err != nil {
 		n.core.Counters.Drop(kind)
--- a/internal/operator/edit.go
+++ b/internal/operator/edit.go
@@ -41,6 +41,8 @@
 	settlePause = 300 * time.Millisecond
 	// pushTimeout bounds handing an accepted tree to one balancer.
 	pushTimeout = time.Second
+	// inForceAsked is how many balancers are asked what they have in force.
+	inForceAsked = 3
 	// pushTargets is how many balancers are handed an accepted tree; they tell the rest.
 	pushTargets = 2
 )
@@ -110,8 +112,8 @@
 	return s.accept(ctx, state, tree, inForce+1)
 }
 
-// newestInForce returns the newest tree that any balancer has in force, and its
-// revision; 0 when none can be asked.
+// newestInForce returns the newest tree that one of a few balancers has in force,
+// and its revision; 0 when none can be asked.
 func (s *Session) newestInForce(ctx context.Context) (settings.Tree, uint64) {
 	if s.Machines == "" {
 		return nil, 0
@@ -121,7 +123,7 @@
 		return nil, 0
 	}
 	newest := datapath.Push{}
-	for _, machine := range machines {
+	for _, machine := range machines[:min(len(machines), inForceAsked)] {
 		var push datapath.Push
 		if askJSON(ctx, machine, "/settings", &push) == nil && push.Head.Revision > newest.Head.Revision {
 			newest = push
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"gaugeyard/internal/balancer"
@@ -24,7 +25,8 @@
 	Store     string             `json:"store"`
 	Balancers []BalancerStatus   `json:"balancers"`
 	Backends  []BackendAggregate `json:"backends"`
-	// Imbalance is the largest number of flows of an active back end over the mean.
+	// Imbalance is the largest number of flows of an active back end over the mean
+	// of its service's back ends, for the service where it is worst.
 	Imbalance float64 `json:"imbalance"`
 }
 
@@ -113,18 +115,39 @@
 			s.Backends[at].InFlight += backend.InFlight
 		}
 	}
-	total, active, largest := int64(0), 0, int64(0)
+	s.Imbalance = s.imbalance()
+}
+
+// load sums up the active back ends of one service.
+type load struct {
+	total, largest int64
+	active         int
+}
+
+// imbalance returns the largest flow count of an active back end over the mean
+// of its service's, for the service where it is worst.
+func (s *FleetStatus) imbalance() float64 {
+	loads := map[string]*load{}
 	for _, backend := range s.Backends {
+		service, _, _ := strings.Cut(string(backend.Path), "/")
+		if loads[service] == nil {
+			loads[service] = &load{}
+		}
 		if backend.State != balancer.Active.String() {
 			continue
 		}
-		active++
-		total += backend.Flows
-		largest = max(largest, backend.Flows)
+		sum := loads[service]
+		sum.active++
+		sum.total += backend.Flows
+		sum.largest = max(sum.largest, backend.Flows)
 	}
-	if total > 0 {
-		s.Imbalance = float64(largest) * float64(active) / float64(total)
+	worst := 0.0
+	for _, sum := range loads {
+		if sum.total > 0 {
+			worst = max(worst, float64(sum.largest)*float64(sum.active)/float64(sum.total))
+		}
 	}
+	return worst
 }
 
 func (s *FleetStatus) text(w io.Writer) {
