Status reads what the last tick found, not the tick's own state

Found by reading: status, under the read lock, read the copier while the tick, under the read lock too, wrote it. The race detector had not met it in any run; the flag it needs is atomic now.

--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -37,7 +37,9 @@
 	registry  registry
 	deadlines deadlineQueue
 	copier    copier
-	budget    byteBudget
+	// settled is what the last tick found of the copier, for other goroutines.
+	settled atomic.Bool
+	budget  byteBudget
 
 	lastTick      atomic.Int64
 	lastHeartbeat time.Duration
--- a/internal/balancer/leave.go
+++ b/internal/balancer/leave.go
@@ -61,7 +61,7 @@
 		c.refreshView(now, effects)
 		c.sendHeartbeats(now, effects)
 		effects.add(Effect{Kind: StateChanged, Subject: "self", State: "leaving: announced, passing datagrams on"})
-	case l.announced && now-l.announcedAt >= leaveSettle && c.settled(now):
+	case l.announced && now-l.announcedAt >= leaveSettle && c.quiet(now):
 		l.finished.Store(true)
 		effects.add(Effect{Kind: StateChanged, Subject: "self", State: "left"})
 	}
@@ -73,9 +73,10 @@
 	return len(c.view.Members) < 2 || c.copier.settled(copiedBeforeRest) && c.othersSettled(now)
 }
 
-func (c *Core) settled(now time.Duration) bool {
-	quiet := now-time.Duration(c.leave.lastTraffic.Load()) >= leaveQuiet
-	return quiet || now-c.leave.announcedAt >= leaveLimit
+// quiet tells whether the fabric has stopped to send datagrams here.
+func (c *Core) quiet(now time.Duration) bool {
+	silent := now-time.Duration(c.leave.lastTraffic.Load()) >= leaveQuiet
+	return silent || now-c.leave.announcedAt >= leaveLimit
 }
 
 // Finished tells whether a planned stop is over and the process may end.
--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -46,7 +46,7 @@
 		Phase:    c.phase(),
 		Quorum:   c.quorum,
 		Revision: c.snapshot.Revision,
-		Settled:  c.copier.settled(1),
+		Settled:  c.settled.Load(),
 		Flows:    c.flows.Len(),
 		Waiting:  c.waiting(now),
 	}
--- a/internal/balancer/tick.go
+++ b/internal/balancer/tick.go
@@ -56,6 +56,7 @@
 	}
 	c.walk(now, effects)
 	c.sendCopy(now, effects)
+	c.settled.Store(c.copier.settled(1))
 }
 
 // startListening sets, at the first tick, when this node may join.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -50,7 +50,8 @@
 	// Answered means that the request went to the back end and is settled here;
 	// copies go there too, and are answered from its memory.
 	Answered
-	// GivenUp means that the deadline passed; the caller was told that the outcome is unknown.
+	// GivenUp means that nobody here can say whether the request ran: its deadline
+	// passed, or it was left to other balancers. Copies are told so.
 	GivenUp
 )
 
@@ -89,8 +90,8 @@
 	Replaced settings.BackendID
 	// Owner is set while this node counts the flow as its own.
 	Owner bool
-	// Verified is unset while the pin is known only from an answer, so that
-	// refusals may exist that this node has not learned.
+	// Verified is set once the pair's other node has confirmed the record or sent
+	// it. Until then refusals may exist that this node has not learned.
 	Verified bool
 	// Observing is set once a notification of a feed was seen.
 	Observing bool
@@ -104,7 +105,7 @@
 	AmbiguousUntil time.Duration
 	// LastSeen is when the last datagram passed.
 	LastSeen time.Duration
-	// Exchanges are the requests in flight, refused or given up.
+	// Exchanges are the requests whose copies may still arrive.
 	Exchanges []Exchange
 }
 
