--- a/internal/balancer/core.go
+++ b/internal/balancer/core.go
@@ -150,6 +150,10 @@
 		c.drop(errkind.UnknownService)
 		return
 	}
+	if len(packet.Data) > service.MaxDatagram {
+		c.drop(errkind.Oversized)
+		return
+	}
 	if c.config.Strategy >= Consistent {
 		c.routeStateless(packet, service, effects)
 		return
--- a/internal/balancer/propose.go
+++ b/internal/balancer/propose.go
@@ -119,18 +119,10 @@
 	c.begin(x, f, true)
 }
 
-// beginOnce records the request unless an earlier copy did.
-func (c *Core) beginOnce(x *exchangeContext, f *flow.Flow, replicated bool) {
-	if f.Find(x.packet.MessageID) == nil {
-		c.begin(x, f, replicated)
-	}
-}
-
 // place picks the back end of a new flow and pins it, or says why none is free.
 func (c *Core) place(x *exchangeContext, f *flow.Flow) errkind.Kind {
 	candidates, backends := c.candidates(x.now, x.service, x.effects)
-	factor := x.service.LoadFactor
-	index, result := placement.Choose(x.hash, candidates, factor)
+	index, result := placement.Choose(x.hash, candidates, x.service.LoadFactor)
 	switch result {
 	case placement.NoneOpen:
 		return errkind.NoBackend
@@ -171,7 +163,9 @@
 		c.answer(x.packet, kind, x.service.RefusalRetry, x.effects)
 		return
 	}
-	c.beginOnce(x, f, false)
+	if f.Find(x.packet.MessageID) == nil {
+		c.begin(x, f, false)
+	}
 	c.forwardPinned(x, f, false)
 }
 
--- a/internal/datapath/fuzz_test.go
+++ b/internal/datapath/fuzz_test.go
@@ -10,6 +10,18 @@
 	"gaugeyard/internal/wire"
 )
 
+// TestOversizedIsDropped guards the max_datagram setting (4 KiB by default).
+func TestOversizedIsDropped(t *testing.T) {
+	core := benchCore(t)
+	for _, c := range []struct{ length, dropped int }{{4 << 10, 0}, {4<<10 + 1, 1}} {
+		packet := &balancer.Packet{Kind: balancer.Request, Flow: benchKey(c.length), Data: make([]byte, c.length)}
+		core.Step(benchNow, &balancer.Datagram{Packet: packet}, &balancer.Effects{})
+		if got := core.Counters.Dropped[errkind.Oversized].Load(); got != uint64(c.dropped) {
+			t.Errorf("%d bytes: %d dropped, not %d", c.length, got, c.dropped)
+		}
+	}
+}
+
 // FuzzPeerMessage hands what decodes to a core: no peer message may stop it.
 func FuzzPeerMessage(f *testing.F) {
 	key := benchKey(1)
--- a/internal/datapath/node.go
+++ b/internal/datapath/node.go
@@ -185,15 +185,10 @@
 }
 
 func (n *Node) decodeData(data []byte, own *balancer.Datagram) balancer.Event {
-	packet := own.Packet
-	if err := n.decoder.Decode(data, packet); err != nil {
+	if err := n.decoder.Decode(data, own.Packet); err != nil {
 		n.core.Counters.Drop(errkind.Malformed)
 		return nil
 	}
-	if service := n.core.Snapshot().ServiceAt(packet.Flow.Service); service != nil && len(data) > service.MaxDatagram {
-		n.core.Counters.Drop(errkind.Oversized)
-		return nil
-	}
 	return own
 }
 
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"strings"
 	"time"
 
@@ -88,16 +86,7 @@
 func askJSON(ctx context.Context, machine platform.Machine, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+machine.Admin.String()+path, nil)
-	if err != nil {
-		return err
-	}
-	reply, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer reply.Body.Close()
-	return json.NewDecoder(reply.Body).Decode(into)
+	return platform.GetJSON(ctx, "http://"+machine.Admin.String()+path, into)
 }
 
 // aggregate adds up the back ends of all balancers.
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -85,27 +85,34 @@
 func Machines(ctx context.Context, url string) ([]Machine, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxListTime)
 	defer cancel()
+	var groups []TargetGroup
+	if err := GetJSON(ctx, url, &groups); err != nil {
+		return nil, fmt.Errorf("machine list: %w", err)
+	}
+	machines := make([]Machine, len(groups))
+	for i, group := range groups {
+		machine, err := group.Machine()
+		if err != nil {
+			return nil, err
+		}
+		machines[i] = machine
+	}
+	return machines, nil
+}
+
+// GetJSON decodes what the URL serves; any status but 200 is an error.
+func GetJSON(ctx context.Context, url string, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	reply, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer reply.Body.Close()
 	if reply.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("machine list answered %s", reply.Status)
-	}
-	var groups []TargetGroup
-	if err := json.NewDecoder(reply.Body).Decode(&groups); err != nil {
-		return nil, err
+		return fmt.Errorf("%s answered %s", url, reply.Status)
 	}
-	machines := make([]Machine, len(groups))
-	for i, group := range groups {
-		if machines[i], err = group.Machine(); err != nil {
-			return nil, err
-		}
-	}
-	return machines, nil
+	return json.NewDecoder(reply.Body).Decode(into)
 }
