--- a/internal/datapath/admin.go
+++ b/internal/datapath/admin.go
@@ -8,7 +8,8 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"gaugeyard/internal/balancer"
-	"gaugeyard/internal/platform"
+	"gaugeyard/internal/store"
+
 	"gaugeyard/internal/settings"
 )
 
@@ -18,7 +19,7 @@
 // Push is a tree that the store has accepted, as the operators' command hands
 // it to a balancer, so that it comes into force even if the store fails next.
 type Push struct {
-	Head platform.Head `json:"head"`
+	Head store.Head    `json:"head"`
 	Tree settings.Tree `json:"tree"`
 }
 
@@ -50,7 +51,7 @@
 // handleSettings returns the tree in force, also while the store is down.
 func (n *Node) handleSettings(w http.ResponseWriter, _ *http.Request) {
 	snapshot := n.core.Snapshot()
-	writeJSON(w, Push{Head: platform.Head{Revision: snapshot.Revision}, Tree: snapshot.Tree})
+	writeJSON(w, Push{Head: store.Head{Revision: snapshot.Revision}, Tree: snapshot.Tree})
 }
 
 func (n *Node) handlePush(w http.ResponseWriter, r *http.Request) {
@@ -63,7 +64,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	writeJSON(w, platform.Head{Revision: n.core.Snapshot().Revision})
+	writeJSON(w, store.Head{Revision: n.core.Snapshot().Revision})
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
--- a/internal/datapath/config.go
+++ b/internal/datapath/config.go
@@ -13,7 +13,7 @@
 
 	"gopkg.in/yaml.v3"
 
-	"gaugeyard/internal/platform"
+	"gaugeyard/internal/discovery"
 )
 
 // Config is what a balancer process is started with.
@@ -146,7 +146,7 @@
 // which win. It returns every fault, each with file and line or with its flag,
 // the value, and what is allowed.
 func LoadConfig(file string, flags []Flag) (Config, []error) {
-	config := Config{Workers: defaultWorkers, LogFormat: "text", Cell: platform.DefaultCell}
+	config := Config{Workers: defaultWorkers, LogFormat: "text", Cell: discovery.DefaultCell}
 	given := map[string]bool{}
 	var faults []error
 	if file != "" {
--- a/internal/datapath/node.go
+++ b/internal/datapath/node.go
@@ -15,7 +15,8 @@
 	"gaugeyard/internal/balancer"
 	"gaugeyard/internal/errkind"
 	"gaugeyard/internal/membership"
-	"gaugeyard/internal/platform"
+	"gaugeyard/internal/store"
+
 	"gaugeyard/internal/wire"
 )
 
@@ -35,7 +36,7 @@
 	log     hclog.Logger
 	core    *balancer.Core
 	decoder *wire.Decoder
-	store   *platform.Store
+	store   *store.Client
 	data    *net.UDPConn
 	peer    *net.UDPConn
 	started time.Time
@@ -71,7 +72,7 @@
 		log:     log,
 		core:    balancer.New(core),
 		decoder: wire.NewDecoder(),
-		store:   platform.NewStore(config.Store),
+		store:   store.New(config.Store),
 		data:    data,
 		peer:    peer,
 		started: started,
--- a/internal/datapath/sources.go
+++ b/internal/datapath/sources.go
@@ -8,7 +8,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"gaugeyard/internal/balancer"
-	"gaugeyard/internal/platform"
+	"gaugeyard/internal/discovery"
+	"gaugeyard/internal/store"
 )
 
 const (
@@ -62,7 +63,7 @@
 	return n.store.Watch(ctx, state, n.applyState)
 }
 
-func (n *Node) applyState(state *platform.State) {
+func (n *Node) applyState(state *store.State) {
 	if state.Head.Revision == 0 {
 		return
 	}
@@ -77,7 +78,7 @@
 	var effects balancer.Effects
 	addresses := n.config.Peers
 	for {
-		if machines, err := platform.Machines(ctx, n.config.Machines); err == nil {
+		if machines, err := discovery.Machines(ctx, n.config.Machines); err == nil {
 			addresses = append([]netip.AddrPort{}, n.config.Peers...)
 			for _, machine := range machines {
 				if machine.Cell == n.config.Cell {
@@ -102,7 +103,7 @@
 				continue
 			}
 			group.Go(func() error {
-				utilization, err := platform.Utilization(ctx, backend.LoadAddress)
+				utilization, err := discovery.Utilization(ctx, backend.LoadAddress)
 				if err == nil {
 					report := &balancer.LoadReport{Backend: backend.Address, Utilization: utilization}
 					n.step(report, &balancer.Effects{})
--- a/internal/platform/load.go
+++ b/internal/discovery/load.go
@@ -1,4 +1,6 @@
-package platform
+// Package discovery reads what is around a balancer: the machine list of balancers
+// and the load that back ends report of themselves.
+package discovery
 
 import (
 	"context"
--- a/internal/platform/machines.go
+++ b/internal/discovery/machines.go
@@ -1,4 +1,4 @@
-package platform
+package discovery
 
 import (
 	"context"
--- /dev/null
+++ b/internal/edge/main.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes of the process.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitInvalid = 2
+)
+
+type arguments struct {
+	Settings string `arg:"--settings,env:GAUGEYARD_SETTINGS,required" help:"settings file of the process (YAML)"`
+	Check    bool   `arg:"--check" help:"check the settings file and end"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "gaugeyard-platform runs a balancer on a platform whose packets carry tags."
+}
+
+// Main runs the process with the adapter of a platform and returns its exit code.
+func Main(args []string, out, errOut io.Writer, adapt func(config *Config, rejected func(err error)) Adapter) int {
+	var parsed arguments
+	parser, err := arg.NewParser(arg.Config{Program: "gaugeyard-platform"}, &parsed)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	switch err := parser.Parse(args); {
+	case err == arg.ErrHelp:
+		parser.WriteHelp(out)
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(errOut, err)
+		return exitInvalid
+	}
+	config, faults := LoadConfig(parsed.Settings)
+	for _, fault := range faults {
+		fmt.Fprintln(errOut, fault)
+	}
+	if len(faults) > 0 {
+		return exitInvalid
+	}
+	if parsed.Check {
+		return exitOK
+	}
+	return run(config, out, errOut, adapt)
+}
+
+// run serves until SIGTERM or an interrupt has led to the end of a planned stop.
+// A second signal ends it at once.
+func run(config Config, out, errOut io.Writer, adapt func(config *Config, rejected func(err error)) Adapter) int {
+	node, err := New(config, out)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	node.adapter = adapt(&config, node.rejected)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		node.Leave()
+		<-signals
+		cancel()
+	}()
+	if err := node.Run(ctx); err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// rejected logs a part of the desired state that could not be read.
+func (n *Node) rejected(err error) {
+	n.log.Error("entry rejected, the last good one stays in force", "revision", n.viewRevision.Load(), "error", err)
+}
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gaugeyard/internal/errkind"
+)
+
+// processMetrics are the numbers that the process exposes as text.
+type processMetrics struct {
+	set                        *metrics.Set
+	packets, forwarded, placed *metrics.Counter
+	moved, repinned, spilled   *metrics.Counter
+	storeCalls, storeFailures  *metrics.Counter
+	sendFailures               *metrics.Counter
+	refused, dropped           map[errkind.Kind]*metrics.Counter
+	handling                   *metrics.Histogram
+}
+
+func newMetrics(n *Node) *processMetrics {
+	set := metrics.NewSet()
+	m := &processMetrics{
+		set:           set,
+		packets:       set.NewCounter("gaugeyard_packets_total"),
+		forwarded:     set.NewCounter("gaugeyard_packets_forwarded_total"),
+		placed:        set.NewCounter("gaugeyard_flows_placed_total"),
+		moved:         set.NewCounter("gaugeyard_flows_moved_before_opening_total"),
+		repinned:      set.NewCounter("gaugeyard_packets_kept_at_their_backend_total"),
+		spilled:       set.NewCounter("gaugeyard_flows_placed_in_another_zone_total"),
+		storeCalls:    set.NewCounter("gaugeyard_store_calls_total"),
+		storeFailures: set.NewCounter("gaugeyard_store_failures_total"),
+		sendFailures:  set.NewCounter("gaugeyard_send_failures_total"),
+		refused:       map[errkind.Kind]*metrics.Counter{},
+		dropped:       map[errkind.Kind]*metrics.Counter{},
+		handling:      set.NewHistogram("gaugeyard_packet_handling_seconds"),
+	}
+	for _, kind := range errkind.All() {
+		m.refused[kind] = set.NewCounter(fmt.Sprintf("gaugeyard_flows_refused_total{reason=%q}", kind))
+		m.dropped[kind] = set.NewCounter(fmt.Sprintf("gaugeyard_packets_dropped_total{reason=%q}", kind))
+	}
+	set.NewGauge("gaugeyard_flows", func() float64 { return n.locked(func() float64 { return float64(n.steerer.Flows()) }) })
+	set.NewGauge("gaugeyard_directory_revision", func() float64 { return float64(n.revision()) })
+	set.NewGauge("gaugeyard_settings_version", func() float64 {
+		return n.locked(func() float64 { return float64(n.directory.SettingsVersion()) })
+	})
+	set.NewGauge("gaugeyard_log_lines_dropped", func() float64 { return float64(n.lines.dropped.Load()) })
+	return m
+}
+
+// handled records how long one packet took; one in sampleEvery is measured.
+func (m *processMetrics) handled(started, ended time.Duration) {
+	m.handling.Update((ended - started).Seconds())
+}
+
+func (n *Node) locked(read func() float64) float64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return read()
+}
--- /dev/null
+++ b/internal/edge/node.go
@@ -0,0 +1,218 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/settings"
+	"gaugeyard/internal/steering"
+)
+
+const (
+	// socketBuffer is the size of the data socket's buffers asked for, in bytes.
+	socketBuffer = 1 << 20
+	// maxDatagram is the longest datagram that is read, in bytes.
+	maxDatagram = 2048
+	// tickInterval is how often time passes in the steerer.
+	tickInterval = time.Second
+	// sampleEvery is how many packets pass for each that is timed.
+	sampleEvery = 64
+	// flushTime bounds the wait for log lines at the end.
+	flushTime = 200 * time.Millisecond
+	// shutdownTime bounds the end of HTTP servers and their reading of headers.
+	shutdownTime = time.Second
+)
+
+// Node is one running balancer process.
+type Node struct {
+	config  Config
+	adapter Adapter
+	log     hclog.Logger
+	lines   *lineWriter
+	metrics *processMetrics
+	data    *net.UDPConn
+	started time.Time
+	contact contact
+
+	// mutex guards directory and steerer; it is the only lock.
+	mutex     sync.Mutex
+	directory *directory.Directory
+	steerer   *steering.Steerer
+
+	// synced is set once the desired state is known.
+	synced atomic.Bool
+	// leaving is set by a planned stop.
+	leaving atomic.Bool
+	// lastPacket is when the last packet came, by now().
+	lastPacket atomic.Int64
+	// viewRevision is the revision that packets are steered by, for logs.
+	viewRevision atomic.Uint64
+	stop         chan struct{}
+	stopOnce     sync.Once
+}
+
+// New opens the process's data socket and makes its parts.
+func New(config Config, out io.Writer) (*Node, error) {
+	data, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Data))
+	if err != nil {
+		return nil, err
+	}
+	// The kernel may grant less; that is no fault.
+	_ = data.SetReadBuffer(socketBuffer)
+	_ = data.SetWriteBuffer(socketBuffer)
+	lines := newLineWriter(out)
+	n := &Node{
+		config:    config,
+		lines:     lines,
+		log:       newLogger(config.Node, lines),
+		data:      data,
+		started:   time.Now(),
+		directory: directory.New(config.Bounds.FlowLife + config.Bounds.Drain),
+		steerer: steering.New(steering.Config{
+			Zone:       config.Zone,
+			FlowLife:   config.Bounds.FlowLife,
+			LapseGrace: config.Bounds.Drain / 2,
+		}),
+		stop: make(chan struct{}),
+	}
+	n.metrics = newMetrics(n)
+	return n, nil
+}
+
+// now is how long this process runs, by the monotonic clock.
+func (n *Node) now() time.Duration {
+	return time.Since(n.started)
+}
+
+// Leave starts a planned stop; Run returns when it is over.
+func (n *Node) Leave() {
+	n.stopOnce.Do(func() {
+		n.leaving.Store(true)
+		close(n.stop)
+	})
+}
+
+// Run serves until a planned stop is over or ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	n.log.Info("started", "zone", n.config.Zone, "data", n.config.Data, "store", n.config.Store, "first_start", n.config.FirstStart)
+	for range n.config.Workers {
+		group.Go(func() error { return n.receive(ctx) })
+	}
+	group.Go(func() error { return n.follow(ctx) })
+	group.Go(func() error { return n.serve(ctx, n.config.Ready.String(), n.readyHandler()) })
+	group.Go(func() error { return n.tick(ctx) })
+	group.Go(func() error {
+		defer cancel()
+		return n.awaitStop(ctx)
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return n.data.Close()
+	})
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	n.log.Info("stopped", "error", err)
+	n.lines.flush(flushTime)
+	return err
+}
+
+// tick lets time pass in the steerer and the directory.
+func (n *Node) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			n.mutex.Lock()
+			n.steerer.Tick(n.now())
+			if n.directory.Forget(n.now()) {
+				n.steerer.SetView(n.directory.View())
+			}
+			n.mutex.Unlock()
+		}
+	}
+}
+
+// receive is one worker: read, decode, decide, send. Its memory is reused for
+// each datagram.
+func (n *Node) receive(ctx context.Context) error {
+	headroom := n.adapter.Codec.Headroom()
+	buffer := make([]byte, headroom+maxDatagram)
+	answer := make([]byte, maxDatagram)
+	packet := &steering.Packet{}
+	for count := 0; ; count++ {
+		length, _, err := n.data.ReadFromUDPAddrPort(buffer[headroom:])
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			// An earlier send met a closed port; the socket itself is sound.
+			continue
+		}
+		started := n.now()
+		n.handle(started, buffer[:headroom+length], packet, answer)
+		if count%sampleEvery == 0 {
+			n.metrics.handled(started, n.now())
+		}
+	}
+}
+
+// handle decides on one datagram and sends what follows.
+func (n *Node) handle(now time.Duration, buffer []byte, packet *steering.Packet, answer []byte) {
+	n.metrics.packets.Inc()
+	n.lastPacket.Store(int64(now))
+	datagram := buffer[n.adapter.Codec.Headroom():]
+	if err := n.adapter.Codec.Decode(datagram, packet); err != nil {
+		n.metrics.dropped[errkind.Malformed].Inc()
+		return
+	}
+	n.mutex.Lock()
+	verdict := n.steerer.Steer(now, packet)
+	n.mutex.Unlock()
+	switch verdict.Action {
+	case steering.Forward:
+		n.metrics.forwarded.Inc()
+		n.send(n.adapter.Codec.Forward(buffer, verdict.Backend), verdict.Backend.Address)
+	case steering.Refuse:
+		n.metrics.refused[verdict.Reason].Inc()
+		n.send(n.adapter.Codec.Refusal(answer, datagram), n.adapter.deliverTo(packet.Flow.Caller.Addr()))
+	case steering.Drop:
+		n.metrics.dropped[verdict.Reason].Inc()
+	}
+	n.logVerdict(packet, &verdict)
+}
+
+// backendName is the identifier as the logs give it.
+func backendName(id settings.BackendID) string {
+	return fmt.Sprintf("%x", uint64(id))
+}
+
+// serve runs one HTTP server until ctx ends.
+func (n *Node) serve(ctx context.Context, address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: shutdownTime}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/edge/ports.go
@@ -0,0 +1,57 @@
+// Package edge is the balancer process on a platform whose transport carries tags:
+// sockets, workers, the follower of the store, peers, readiness and metrics, around
+// the decisions of package steering and the beliefs of package directory. What the
+// platform speaks comes in through the interfaces of this file.
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/steering"
+)
+
+// Codec translates the datagrams of the transport. Implementations have no state.
+type Codec interface {
+	// Headroom is how many bytes Forward needs before a datagram.
+	Headroom() int
+	// Decode reads a caller's datagram into packet; an error names what is wrong.
+	Decode(datagram []byte, packet *steering.Packet) error
+	// Forward turns the datagram at buffer[Headroom():] into the one for the back
+	// end, in place, and returns it.
+	Forward(buffer []byte, backend *directory.Member) []byte
+	// Refusal returns the datagram that tells the caller of an opening packet that
+	// its flow does not open, written into buffer.
+	Refusal(buffer, datagram []byte) []byte
+}
+
+// Source is where the desired state is read.
+type Source interface {
+	// List reads everything.
+	List(ctx context.Context) (*directory.Listing, error)
+	// Changes waits up to wait for changes after a revision. It returns at once
+	// when there are any, and ErrHistoryLost when the revision is too old.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (*directory.Changes, error)
+	// Reconnect drops connections, of which one may be dead.
+	Reconnect()
+}
+
+// ErrHistoryLost means that the changes since a revision are not known any more,
+// and everything must be listed again.
+var ErrHistoryLost = errors.New("the store has no history since the revision")
+
+// Adapter is everything that a platform gives to the process.
+type Adapter struct {
+	Codec  Codec
+	Source Source
+	// CallerPort is the port at which the platform takes datagrams for callers.
+	CallerPort uint16
+}
+
+// deliverTo returns where a datagram for the caller is sent.
+func (a *Adapter) deliverTo(caller netip.Addr) netip.AddrPort {
+	return netip.AddrPortFrom(caller, a.CallerPort)
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 
-	"github.com/plgd-dev/go-coap/v3/message/codes"
 	"github.com/zeebo/errs"
 )
 
@@ -43,6 +42,17 @@
 	// Undecided means that the balancers do not agree yet on who owns the flow;
 	// the request's next copy is handled.
 	Undecided
+	// NoRoute is an opening packet for an address that the newest known settings
+	// do not have.
+	NoRoute
+	// NotReady is an opening packet that arrived before any settings are known.
+	NotReady
+	// UnknownTag is a packet whose tag names no back end that this node knows.
+	UnknownTag
+	// Stale is an opening packet that waited too long here while the process stood still.
+	Stale
+	// Unexpected is a well-formed packet that a caller never sends.
+	Unexpected
 
 	kindCount
 )
@@ -65,12 +75,26 @@
 	return [...]string{"no", "unknown", "not told"}[r]
 }
 
+// Reply is the form of what a caller is told, free of any protocol; each
+// protocol's codec has one table from a Reply to its own code.
+type Reply uint8
+
+// The closed list of replies.
+const (
+	// Silent means that no answer is sent.
+	Silent Reply = iota
+	// Unavailable tells that the request was not taken.
+	Unavailable
+	// Timeout tells that the outcome of the request is not known.
+	Timeout
+)
+
 // Answer is what the caller is told for one kind.
 type Answer struct {
 	// Name is the counter label and log word of the kind.
 	Name string
-	// Code is the CoAP response code; codes.Empty means that no answer is sent.
-	Code codes.Code
+	// Reply is the form of the answer.
+	Reply Reply
 	// Ran is what the answer states about the request.
 	Ran Ran
 	// Retry tells whether the answer carries Max-Age, the seconds to wait before a new request.
@@ -78,20 +102,25 @@
 }
 
 var table = [kindCount]Answer{
-	None:             {"none", codes.Empty, RanNotTold, false},
-	Malformed:        {"malformed", codes.Empty, RanNotTold, false},
-	Oversized:        {"oversized", codes.Empty, RanNotTold, false},
-	WrongVersion:     {"wrong_version", codes.Empty, RanNotTold, false},
-	UnknownService:   {"unknown_service", codes.Empty, RanNotTold, false},
-	NoBackend:        {"no_backend", codes.ServiceUnavailable, RanNo, true},
-	ConnectionsFull:  {"connections_full", codes.ServiceUnavailable, RanNo, true},
-	SlotsFull:        {"slots_full", codes.ServiceUnavailable, RanNo, true},
-	DeadlineTooShort: {"deadline_too_short", codes.ServiceUnavailable, RanNo, true},
-	RetryBudgetSpent: {"retry_budget_spent", codes.Empty, RanNotTold, false},
-	OutcomeUnknown:   {"outcome_unknown", codes.GatewayTimeout, RanUnknown, true},
-	DeadlineExceeded: {"deadline_exceeded", codes.GatewayTimeout, RanUnknown, false},
-	Undecided:        {"undecided", codes.Empty, RanNotTold, false},
-	NoOwner:          {"no_owner", codes.Empty, RanNotTold, false},
+	None:             {"none", Silent, RanNotTold, false},
+	Malformed:        {"malformed", Silent, RanNotTold, false},
+	Oversized:        {"oversized", Silent, RanNotTold, false},
+	WrongVersion:     {"wrong_version", Silent, RanNotTold, false},
+	UnknownService:   {"unknown_service", Silent, RanNotTold, false},
+	NoBackend:        {"no_backend", Unavailable, RanNo, true},
+	ConnectionsFull:  {"connections_full", Unavailable, RanNo, true},
+	SlotsFull:        {"slots_full", Unavailable, RanNo, true},
+	DeadlineTooShort: {"deadline_too_short", Unavailable, RanNo, true},
+	RetryBudgetSpent: {"retry_budget_spent", Silent, RanNotTold, false},
+	OutcomeUnknown:   {"outcome_unknown", Timeout, RanUnknown, true},
+	DeadlineExceeded: {"deadline_exceeded", Timeout, RanUnknown, false},
+	Undecided:        {"undecided", Silent, RanNotTold, false},
+	NoOwner:          {"no_owner", Silent, RanNotTold, false},
+	NoRoute:          {"no_route", Unavailable, RanNo, true},
+	NotReady:         {"not_ready", Silent, RanNotTold, false},
+	UnknownTag:       {"unknown_tag", Silent, RanNotTold, false},
+	Stale:            {"stale", Silent, RanNotTold, false},
+	Unexpected:       {"unexpected", Silent, RanNotTold, false},
 }
 
 // Answer returns the table row of the kind; an unknown kind has the row of OutcomeUnknown.
--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 
-	"github.com/plgd-dev/go-coap/v3/message/codes"
 )
 
 // TestTableIsWhole guards that each kind has a row, and that only answers that
@@ -16,21 +15,21 @@
 			t.Errorf("kind %d: name %q is missing or taken", kind, row.Name)
 		}
 		names[row.Name] = true
-		switch row.Code {
-		case codes.ServiceUnavailable:
+		switch row.Reply {
+		case Unavailable:
 			if row.Ran != RanNo || !row.Retry {
 				t.Errorf("%s: 5.03 must say that nothing ran, and when to come back", row.Name)
 			}
-		case codes.GatewayTimeout:
+		case Timeout:
 			if row.Ran != RanUnknown {
 				t.Errorf("%s: 5.04 must leave open what ran", row.Name)
 			}
-		case codes.Empty:
+		case Silent:
 			if row.Ran != RanNotTold {
 				t.Errorf("%s: no answer tells something", row.Name)
 			}
 		default:
-			t.Errorf("%s: answers %v", row.Name, row.Code)
+			t.Errorf("%s: answers %v", row.Name, row.Reply)
 		}
 	}
 	if kindCount.Answer() != OutcomeUnknown.Answer() {
--- a/internal/operator/edit.go
+++ b/internal/operator/edit.go
@@ -15,8 +15,10 @@
 	"github.com/zeebo/errs"
 
 	"gaugeyard/internal/datapath"
+	"gaugeyard/internal/discovery"
 	"gaugeyard/internal/edit"
-	"gaugeyard/internal/platform"
+	"gaugeyard/internal/store"
+
 	"gaugeyard/internal/settings"
 )
 
@@ -49,7 +51,7 @@
 
 // Session is one operator's access to the platform.
 type Session struct {
-	Store *platform.Store
+	Store *store.Client
 	// Machines is the URL of the machine list; empty skips handing accepted
 	// edits to balancers directly.
 	Machines string
@@ -68,7 +70,7 @@
 // Edit changes the tree: mutate is applied to a copy, and the result is
 // accepted whole or not at all. With base other than 0 the edit is refused
 // unless base is the newest revision. Errors are of class Invalid or
-// platform.Unavailable, or a *ConflictError.
+// store.Unavailable, or a *ConflictError.
 func (s *Session) Edit(ctx context.Context, base uint64, mutate func(settings.Tree) error) (Accepted, error) {
 	state, err := s.Store.Load(ctx)
 	if err != nil {
@@ -118,7 +120,7 @@
 	if s.Machines == "" {
 		return nil, 0
 	}
-	machines, err := platform.Machines(ctx, s.Machines)
+	machines, err := discovery.Machines(ctx, s.Machines)
 	if err != nil {
 		return nil, 0
 	}
@@ -133,9 +135,9 @@
 }
 
 // accept takes a tree through the protocol and hands it to balancers.
-func (s *Session) accept(ctx context.Context, state *platform.State, next settings.Tree, revision uint64) (Accepted, error) {
+func (s *Session) accept(ctx context.Context, state *store.State, next settings.Tree, revision uint64) (Accepted, error) {
 	changes := settings.Diff(state.Tree, next)
-	change := platform.Edit{
+	change := store.Edit{
 		Revision: revision,
 		EditID:   rand.Text(),
 		Author:   s.Author,
@@ -145,13 +147,13 @@
 	if err := s.commit(ctx, state, next, change); err != nil {
 		return Accepted{}, err
 	}
-	head := platform.Head{Revision: change.Revision, EditID: change.EditID}
+	head := store.Head{Revision: change.Revision, EditID: change.EditID}
 	pushed := s.push(ctx, datapath.Push{Head: head, Tree: next})
 	return Accepted{Revision: change.Revision, EditID: change.EditID, Changes: changes, Pushed: pushed}, nil
 }
 
 // commit takes the edit through its protocol.
-func (s *Session) commit(ctx context.Context, state *platform.State, next settings.Tree, change platform.Edit) error {
+func (s *Session) commit(ctx context.Context, state *store.State, next settings.Tree, change store.Edit) error {
 	machine := &edit.Machine{}
 	var lost error
 	call := machine.Start()
@@ -189,9 +191,9 @@
 	switch {
 	case err == nil:
 		return edit.Yes, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return edit.No, nil
-	case platform.Unavailable.Has(err):
+	case store.Unavailable.Has(err):
 		return edit.Lost, err
 	}
 	return edit.No, err
@@ -208,7 +210,7 @@
 }
 
 // conflict describes what happened since base.
-func (s *Session) conflict(ctx context.Context, base uint64, state *platform.State) error {
+func (s *Session) conflict(ctx context.Context, base uint64, state *store.State) error {
 	if state == nil {
 		var err error
 		if state, err = s.Store.Load(ctx); err != nil {
@@ -234,7 +236,7 @@
 	if s.Machines == "" {
 		return 0
 	}
-	machines, err := platform.Machines(ctx, s.Machines)
+	machines, err := discovery.Machines(ctx, s.Machines)
 	if err != nil {
 		return 0
 	}
@@ -251,7 +253,7 @@
 	return confirmed
 }
 
-func pushTo(ctx context.Context, machine platform.Machine, body []byte) bool {
+func pushTo(ctx context.Context, machine discovery.Machine, body []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+machine.Admin.String()+"/settings", bytes.NewReader(body))
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -8,7 +8,8 @@
 	"time"
 
 	"gaugeyard/internal/balancer"
-	"gaugeyard/internal/platform"
+	"gaugeyard/internal/discovery"
+	"gaugeyard/internal/store"
 )
 
 // StatusCommand prints the state of every balancer and back end.
@@ -43,7 +44,7 @@
 const statusTimeout = time.Second
 
 func newSession(a Access) *Session {
-	return &Session{Store: platform.NewStore(a.Store), Machines: a.Machines, Author: a.Author}
+	return &Session{Store: store.New(a.Store), Machines: a.Machines, Author: a.Author}
 }
 
 // Run implements Command.
@@ -61,7 +62,7 @@
 	} else {
 		status.Store = "unreachable"
 	}
-	machines, err := platform.Machines(ctx, c.Machines)
+	machines, err := discovery.Machines(ctx, c.Machines)
 	if err != nil {
 		return err
 	}
@@ -72,7 +73,7 @@
 	return c.print(out, status, status.text)
 }
 
-func ask(ctx context.Context, machine platform.Machine) BalancerStatus {
+func ask(ctx context.Context, machine discovery.Machine) BalancerStatus {
 	status := BalancerStatus{}
 	status.Address = machine.Peer.String()
 	status.Zone = machine.Zone
@@ -83,10 +84,10 @@
 }
 
 // askJSON reads what a balancer serves at the path.
-func askJSON(ctx context.Context, machine platform.Machine, path string, into any) error {
+func askJSON(ctx context.Context, machine discovery.Machine, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	return platform.GetJSON(ctx, "http://"+machine.Admin.String()+path, into)
+	return discovery.GetJSON(ctx, "http://"+machine.Admin.String()+path, into)
 }
 
 // aggregate adds up the back ends of all balancers.
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -36,6 +36,9 @@
 	KeyLoadFactor      Key = "load_factor"
 	KeyRefusalRetry    Key = "refusal_retry"
 	KeyMaxDatagram     Key = "max_datagram"
+	KeyDiscover        Key = "discover"
+	KeyShare           Key = "share"
+	KeySpill           Key = "spill"
 )
 
 // Level is the depth of a node in the tree.
@@ -95,6 +98,9 @@
 	{KeyDrainTime, "10m", LevelRoot, LevelGroup, "0s to 24h", "Longest time that a draining back end keeps its flows before status calls it overdue.", canonicalDuration(0, 24*time.Hour)},
 	{KeyLoadFactor, "1.05", LevelRoot, LevelService, "1 to 10", "The placement dial: how far above the mean a back end's flows may rise before a new flow leaves its default place. Low evens load; high keeps flows at their defaults.", canonicalFloat(1, 10)},
 	{KeyRefusalRetry, "1s", LevelRoot, LevelService, "1s to 10m", "Time after which a refused caller is told to come back.", canonicalDuration(time.Second, 10*time.Minute)},
+	{KeyDiscover, "", LevelGroup, LevelGroup, "name that servers announce, 1 to 200 characters", "The group's back ends are the servers that announce themselves under this name.", canonicalLabel},
+	{KeyShare, "1", LevelGroup, LevelGroup, "0 to 1000000", "Share of the service's new flows relative to its other groups.", canonicalFloat(0, 1000000)},
+	{KeySpill, "2", LevelRoot, LevelService, "1 to 100", "How many times the load of another zone's back ends those of a node's own zone may have before new flows leave the zone.", canonicalFloat(1, 100)},
 	{KeyMaxDatagram, "4KiB", LevelRoot, LevelService, "64B to 60KiB", "Largest datagram accepted from a caller or back end.", canonicalSize(64, 60<<10)},
 }
 
@@ -125,6 +131,16 @@
 	return text, nil
 }
 
+// maxLabel is the longest name that servers may announce, in bytes.
+const maxLabel = 200
+
+func canonicalLabel(text string) (string, error) {
+	if text == "" || len(text) > maxLabel {
+		return "", fmt.Errorf("empty or too long")
+	}
+	return text, nil
+}
+
 func canonicalWord(words ...string) func(string) (string, error) {
 	return func(text string) (string, error) {
 		if !slices.Contains(words, text) {
--- a/internal/settings/snapshot.go
+++ b/internal/settings/snapshot.go
@@ -50,7 +50,22 @@
 	LoadFactor      float64
 	RefusalRetry    time.Duration
 	MaxDatagram     int
-	Backends        []*Backend
+	// Spill is how many times the load of other zones a node's own zone may have.
+	Spill    float64
+	Backends []*Backend
+	// Groups are the groups whose back ends announce themselves, in order of path.
+	Groups []Group
+}
+
+// Group is one back-end group whose servers announce themselves.
+type Group struct {
+	Path Path
+	// Discover is the name that the group's servers announce.
+	Discover string
+	// Share is the group's part of the service's new flows, relative to its siblings.
+	Share float64
+	// SlowStart is the time over which a new back end's share grows to full.
+	SlowStart time.Duration
 }
 
 // Snapshot is a resolved tree at one revision. It is read-only.
@@ -77,9 +92,12 @@
 		Backends:  map[BackendID]*Backend{},
 		byAddress: map[netip.AddrPort]*Service{},
 	}
-	for _, path := range tree.children("") {
+	children := tree.childIndex()
+	for _, path := range children[""] {
 		service := resolveService(tree, path)
-		service.Backends = snapshot.resolveBackends(tree, backendsRoot(tree, path))
+		root := backendsRoot(tree, path)
+		service.Backends = snapshot.resolveBackends(tree, children, root)
+		service.Groups = resolveGroups(tree, children, root)
 		snapshot.Services = append(snapshot.Services, service)
 		snapshot.byAddress[service.Address] = service
 	}
@@ -110,14 +128,36 @@
 		LoadFactor:      reader.float(KeyLoadFactor),
 		RefusalRetry:    reader.duration(KeyRefusalRetry),
 		MaxDatagram:     reader.size(KeyMaxDatagram),
+		Spill:           reader.float(KeySpill),
+	}
+}
+
+// resolveGroups returns the groups below service whose back ends announce themselves.
+func resolveGroups(tree Tree, children childIndex, service Path) []Group {
+	var groups []Group
+	for _, zone := range children[service] {
+		for _, path := range children[zone] {
+			reader := reader{tree, path}
+			discover := reader.text(KeyDiscover)
+			if discover == "" {
+				continue
+			}
+			groups = append(groups, Group{
+				Path:      path,
+				Discover:  discover,
+				Share:     reader.float(KeyShare),
+				SlowStart: reader.duration(KeySlowStart),
+			})
+		}
 	}
+	return groups
 }
 
-func (s *Snapshot) resolveBackends(tree Tree, service Path) []*Backend {
+func (s *Snapshot) resolveBackends(tree Tree, children childIndex, service Path) []*Backend {
 	var backends []*Backend
-	for _, zone := range tree.children(service) {
-		for _, group := range tree.children(zone) {
-			for _, path := range tree.children(group) {
+	for _, zone := range children[service] {
+		for _, group := range children[zone] {
+			for _, path := range children[group] {
 				backend := resolveBackend(tree, path, zone.Name())
 				if known := s.Backends[backend.ID]; known != nil {
 					backend = known
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -234,6 +234,22 @@
 	return children
 }
 
+// childIndex lists the children of each path in order, for walks of a whole tree.
+type childIndex map[Path][]Path
+
+func (t Tree) childIndex() childIndex {
+	index := make(childIndex, len(t))
+	for path := range t {
+		if path != "" {
+			index[path.Parent()] = append(index[path.Parent()], path)
+		}
+	}
+	for _, children := range index {
+		slices.Sort(children)
+	}
+	return index
+}
+
 // Effective returns the value in force at path and the path it comes from.
 // The source is "default" when no node gives the value; the value is empty
 // when there is no default either.
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -25,8 +25,9 @@
 	"github.com/plgd-dev/go-coap/v3/udp/server"
 	"golang.org/x/sync/errgroup"
 
+	"gaugeyard/internal/discovery"
 	"gaugeyard/internal/flow"
-	"gaugeyard/internal/platform"
+
 	"gaugeyard/internal/wire"
 )
 
@@ -274,7 +275,7 @@
 	handler.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		b.mutex.Lock()
 		defer b.mutex.Unlock()
-		fmt.Fprintf(w, "%s %d\n%s %d\n", platform.GaugeBusy, b.busy, platform.GaugeSlots, b.config.Slots)
+		fmt.Fprintf(w, "%s %d\n%s %d\n", discovery.GaugeBusy, b.busy, discovery.GaugeSlots, b.config.Slots)
 	})
 	handler.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
 		b.mutex.Lock()
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -13,8 +13,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"gaugeyard/internal/discovery"
 	"gaugeyard/internal/flow"
-	"gaugeyard/internal/platform"
+
 	"gaugeyard/internal/wire"
 )
 
@@ -115,7 +116,7 @@
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
 	for {
-		if machines, err := platform.Machines(ctx, f.config.Machines); err == nil {
+		if machines, err := discovery.Machines(ctx, f.config.Machines); err == nil {
 			balancers := make([]netip.AddrPort, len(machines))
 			for i, machine := range machines {
 				balancers[i] = machine.Data
--- a/internal/standin/machines/machines.go
+++ b/internal/standin/machines/machines.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"gaugeyard/internal/platform"
+	"gaugeyard/internal/discovery"
 )
 
 const (
@@ -19,7 +19,7 @@
 
 // entry is one balancer of the list.
 type entry struct {
-	machine platform.Machine
+	machine discovery.Machine
 	// shown is set while the list shows the balancer as live.
 	shown bool
 	// differsSince is when the probe began to differ from what is shown.
@@ -34,7 +34,7 @@
 }
 
 // New returns a list of the machines that shows each change after lag.
-func New(machines []platform.Machine, lag time.Duration) *List {
+func New(machines []discovery.Machine, lag time.Duration) *List {
 	list := &List{lag: lag}
 	for _, machine := range machines {
 		list.entries = append(list.entries, &entry{machine: machine})
@@ -58,7 +58,7 @@
 	}
 }
 
-func probe(ctx context.Context, machine platform.Machine) bool {
+func probe(ctx context.Context, machine discovery.Machine) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+machine.Admin.String()+"/healthz", nil)
@@ -93,11 +93,11 @@
 func (l *List) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	groups := []platform.TargetGroup{}
+	groups := []discovery.TargetGroup{}
 	for _, e := range l.entries {
 		if e.shown {
 			machine := e.machine
-			machine.State = platform.MachineLive
+			machine.State = discovery.MachineLive
 			groups = append(groups, machine.Group())
 		}
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -17,7 +17,8 @@
 
 	"github.com/alexflint/go-arg"
 
-	"gaugeyard/internal/platform"
+	"gaugeyard/internal/discovery"
+
 	"gaugeyard/internal/standin/backend"
 	"gaugeyard/internal/standin/caller"
 	"gaugeyard/internal/standin/fabric"
@@ -137,15 +138,15 @@
 }
 
 func runMachines(ctx context.Context, c *machinesCommand) error {
-	var list []platform.Machine
+	var list []discovery.Machine
 	for _, text := range c.Balancer {
 		parts := strings.Split(text, ",")
 		if len(parts) != 4 {
 			return fmt.Errorf("--balancer=%q: wants ZONE,DATA,PEER,ADMIN", text)
 		}
-		group := platform.TargetGroup{
+		group := discovery.TargetGroup{
 			Targets: []string{parts[3]},
-			Labels:  platform.MachineLabels{Zone: parts[0], Data: parts[1], Peer: parts[2]},
+			Labels:  discovery.MachineLabels{Zone: parts[0], Data: parts[1], Peer: parts[2]},
 		}
 		machine, err := group.Machine()
 		if err != nil {
--- /dev/null
+++ b/internal/steering/packet.go
@@ -0,0 +1,78 @@
+// Package steering decides where each packet goes on a transport whose packets
+// carry a tag that names their back end. Opening packets are placed by the
+// operators' settings and by what this balancer observes of the back ends; every
+// other packet follows its tag, so that any balancer can forward it without having
+// seen the flow before. No copy of a flow is kept anywhere else.
+//
+// The package has no clock, no socket and no goroutine: Steer takes the time and
+// returns a verdict, so that the process and the simulator drive the same code.
+package steering
+
+import (
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/flow"
+)
+
+// Kind says what a caller's packet does to its flow.
+type Kind uint8
+
+// The kinds of packets.
+const (
+	// Open asks for a new flow.
+	Open Kind = iota
+	// Established belongs to a flow that a back end has answered.
+	Established
+	// Close says that the caller's side of the flow ends.
+	Close
+	// Abort ends the flow at once.
+	Abort
+)
+
+// Packet is what a decision reads of one datagram from a caller.
+type Packet struct {
+	Flow flow.Key
+	Kind Kind
+	// Attempt counts the copies of an opening packet, from 0.
+	Attempt uint32
+	// Tag names the back end of an established flow.
+	Tag directory.Tag
+	// Sequence is the caller's position in what it sends.
+	Sequence uint32
+	// Acknowledged is the caller's position in what it received; it has no
+	// meaning on opening packets.
+	Acknowledged uint32
+	// Payload is the length of the data, in bytes.
+	Payload int
+}
+
+// Action says what to do with a packet.
+type Action uint8
+
+// The actions.
+const (
+	// Forward sends the packet to Verdict.Backend.
+	Forward Action = iota
+	// Refuse tells the caller at once that its flow does not open.
+	Refuse
+	// Drop does nothing.
+	Drop
+)
+
+// Verdict is the decision on one packet.
+type Verdict struct {
+	Action Action
+	// Backend is where the packet goes; nil unless Action is Forward.
+	Backend *directory.Member
+	// Reason is why the packet is refused or dropped.
+	Reason errkind.Kind
+	// Placed is set when the packet opened a flow here that had no place yet.
+	Placed bool
+	// Moved is set when a copy of an opening packet left its silent back end.
+	Moved bool
+	// Repinned is set when the tag named another back end than the one that the
+	// flow is known to rest on, and the flow was kept where it is.
+	Repinned bool
+	// Spilled is set when the flow was placed in another zone.
+	Spilled bool
+}
--- /dev/null
+++ b/internal/steering/record.go
@@ -0,0 +1,185 @@
+package steering
+
+import (
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/flow"
+)
+
+const (
+	// openTime is how long a flow may take to open before it no longer counts as
+	// load; callers give up earlier.
+	openTime = 2 * time.Second
+	// restTime is how long a flow may rest before it no longer counts as load.
+	restTime = 15 * time.Second
+	// closeTime is how long a closed flow is remembered for late packets.
+	closeTime = 3 * time.Second
+	// silenceTime is how long a back end may take to answer an opening packet.
+	// A copy that comes sooner waited in a queue here and says nothing of it.
+	silenceTime = 150 * time.Millisecond
+)
+
+// record is what this balancer remembers of one flow. It decides nothing that
+// another balancer must know: a flow whose record is lost goes on by its tag.
+type record struct {
+	key     flow.Key
+	member  *directory.Member
+	backend *backendState
+	// group counts the flow towards the shares of its service, nil when adopted.
+	group *groupState
+	// opening is set until the caller has answered the back end.
+	opening bool
+	// openSequence is the caller's sequence on its opening packet.
+	openSequence uint32
+	// closed is set once the caller's side has ended.
+	closed bool
+	// waiting is set while a request is under way.
+	waiting bool
+	// silent is set once the record has counted as evidence that the back end is silent.
+	silent bool
+	// sequence and acknowledged are the caller's newest positions.
+	sequence, acknowledged uint32
+	started, lastSeen      time.Duration
+	// askedAt is when the opening packet or the request that is under way was sent.
+	askedAt time.Duration
+}
+
+// remember adds a new record.
+func (s *Steerer) remember(known *record) {
+	s.flows[known.key] = known
+	known.backend.join(known)
+}
+
+// forget removes a record; nil is allowed.
+func (s *Steerer) forget(known *record) {
+	if known == nil {
+		return
+	}
+	known.backend.leave(known)
+	delete(s.flows, known.key)
+}
+
+// isOpenFor tells whether an opening packet is a late copy of the one that opened
+// this flow. It must not reach another back end, whose answer would mislead the
+// caller. An adopted flow does not know its first sequence; there any copy is late.
+func (r *record) isOpenFor(now time.Duration, packet *Packet) bool {
+	if r.opening || r.closed {
+		return false
+	}
+	if r.adopted() {
+		return packet.Attempt > 0 && now-r.lastSeen <= openTime
+	}
+	return r.openSequence == packet.Sequence
+}
+
+// adopted tells whether the flow was opened through another balancer.
+func (r *record) adopted() bool {
+	return r.group == nil
+}
+
+// noteCopy counts a repeated opening packet as evidence that the back end is silent.
+func (r *record) noteCopy(now time.Duration, attempt uint32) {
+	if attempt == 0 || r.silent || now-r.askedAt < silenceTime {
+		return
+	}
+	r.silent = true
+	r.backend.noteSilence(now, r.askedAt)
+}
+
+// observe learns from a packet of the caller what the back end does.
+func (r *record) observe(now time.Duration, packet *Packet) {
+	r.lastSeen = now
+	if r.opening {
+		r.opening = false
+		r.acknowledged = packet.Acknowledged
+		r.sequence = packet.Sequence
+		r.backend.noteProgress(now)
+		r.backend.opening--
+	}
+	if advanced(packet.Acknowledged, r.acknowledged) {
+		r.acknowledged = packet.Acknowledged
+		r.answered(now)
+	}
+	if packet.Payload > 0 {
+		r.request(now, packet)
+	}
+	if packet.Kind == Close && !r.closed {
+		r.closed = true
+		r.backend.flows--
+		r.giveUp()
+	}
+}
+
+// giveUp ends the request that is under way, if any, without learning from it.
+func (r *record) giveUp() {
+	if !r.waiting {
+		return
+	}
+	r.waiting = false
+	r.backend.active--
+}
+
+// request notes data of the caller: the begin of a request, more of one, or a
+// repetition because the back end is silent.
+func (r *record) request(now time.Duration, packet *Packet) {
+	end := packet.Sequence + uint32(packet.Payload)
+	if r.sequence != 0 && !advanced(end, r.sequence) {
+		if r.waiting && !r.silent && now-r.askedAt >= silenceTime {
+			r.silent = true
+			r.backend.noteSilence(now, r.askedAt)
+		}
+		return
+	}
+	r.sequence = end
+	if r.waiting || r.closed {
+		return
+	}
+	r.waiting = true
+	r.askedAt = now
+	r.backend.begin(now)
+	if r.group != nil {
+		r.group.count++
+	}
+}
+
+// answered notes that the caller received something from the back end.
+func (r *record) answered(now time.Duration) {
+	r.silent = false
+	r.backend.noteProgress(now)
+	if !r.waiting {
+		return
+	}
+	r.waiting = false
+	r.backend.finish(now - r.askedAt)
+}
+
+// advanced tells whether position a is after b, both modulo 2^32.
+func advanced(a, b uint32) bool {
+	return int32(a-b) > 0
+}
+
+// Tick lets time pass: it forgets flows that are over. Call it about once a second.
+func (s *Steerer) Tick(now time.Duration) {
+	for _, known := range s.flows {
+		rested := now - known.lastSeen
+		switch {
+		case known.opening && rested > openTime,
+			known.closed && rested > closeTime,
+			rested > s.config.FlowLife,
+			now-known.started > 2*s.config.FlowLife:
+			s.forget(known)
+		case rested > restTime:
+			known.giveUp()
+		}
+	}
+	for _, state := range s.backends {
+		state.decay()
+	}
+	for key, group := range s.groups {
+		group.decay()
+		if group.count < forgetCount {
+			delete(s.groups, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/steering/steerer.go
@@ -0,0 +1,229 @@
+package steering
+
+import (
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/flow"
+	"gaugeyard/internal/settings"
+)
+
+// Config is what a steerer is made with.
+type Config struct {
+	// Zone is where this balancer is; back ends there are preferred.
+	Zone string
+	// FlowLife is how long a flow may live; older ones may be forgotten.
+	FlowLife time.Duration
+	// LapseGrace is how long after their entries vanished back ends may still take
+	// new flows, where a group has no other: entries also vanish by mistake.
+	LapseGrace time.Duration
+}
+
+// Steerer is the decision core of one balancer. It is not safe for concurrent use.
+type Steerer struct {
+	config   Config
+	view     *directory.View
+	flows    map[flow.Key]*record
+	backends map[settings.BackendID]*backendState
+	groups   map[groupKey]*groupState
+	// candidates is the memory of placement, reused.
+	candidates []candidate
+}
+
+// New returns a steerer that knows no settings and no back ends.
+func New(config Config) *Steerer {
+	return &Steerer{
+		config:   config,
+		view:     &directory.View{},
+		flows:    map[flow.Key]*record{},
+		backends: map[settings.BackendID]*backendState{},
+		groups:   map[groupKey]*groupState{},
+	}
+}
+
+// SetView takes over a newer view of the desired state.
+func (s *Steerer) SetView(view *directory.View) {
+	s.view = view
+	for id, state := range s.backends {
+		if !view.Knows(id) && state.flows == 0 {
+			delete(s.backends, id)
+		}
+	}
+}
+
+// Flows returns how many flows are remembered.
+func (s *Steerer) Flows() int { return len(s.flows) }
+
+// Steer decides on one packet at now, a time that never goes back.
+func (s *Steerer) Steer(now time.Duration, packet *Packet) Verdict {
+	if packet.Kind == Open {
+		return s.steerOpen(now, packet)
+	}
+	return s.steerEstablished(now, packet)
+}
+
+// steerOpen places an opening packet. A copy goes where the flow's earlier packet
+// went, so that not two back ends answer it, unless that one may take no new flow
+// any more or is known to be silent.
+func (s *Steerer) steerOpen(now time.Duration, packet *Packet) Verdict {
+	if s.view.Settings == nil {
+		return drop(errkind.NotReady)
+	}
+	service := s.view.Settings.ServiceAt(packet.Flow.Service)
+	if service == nil {
+		return refuse(errkind.NoRoute)
+	}
+	known := s.flows[packet.Flow]
+	switch {
+	case known == nil:
+		return s.place(now, packet, service, nil)
+	case known.isOpenFor(now, packet):
+		return drop(errkind.Unexpected)
+	case !known.opening || known.openSequence != packet.Sequence:
+		s.forget(known)
+		return s.place(now, packet, service, nil)
+	}
+	known.noteCopy(now, packet.Attempt)
+	if s.mayOpen(now, service, known) {
+		known.lastSeen = now
+		return Verdict{Action: Forward, Backend: known.member}
+	}
+	avoid := known.backend
+	s.forget(known)
+	verdict := s.place(now, packet, service, avoid)
+	verdict.Moved = true
+	return verdict
+}
+
+// mayOpen tells whether the back end of a flow that is still opening may take it
+// by the newest view.
+func (s *Steerer) mayOpen(now time.Duration, service *settings.Service, known *record) bool {
+	if known.backend.suspected(now) {
+		return false
+	}
+	for i := range service.Groups {
+		for _, member := range s.view.Pool(service.Groups[i].Discover).Open {
+			if member.ID == known.member.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// place chooses the back end of a new flow and remembers it.
+func (s *Steerer) place(now time.Duration, packet *Packet, service *settings.Service, avoid *backendState) Verdict {
+	group, weights := s.chooseGroup(service)
+	if group == nil {
+		return refuse(errkind.NoBackend)
+	}
+	choice := s.choose(now, packet.Flow.Hash(), group, service, avoid)
+	if choice.member == nil {
+		return refuse(errkind.NoBackend)
+	}
+	state := s.stateOf(choice.member)
+	known := &record{
+		key:          packet.Flow,
+		member:       choice.member,
+		backend:      state,
+		group:        weights,
+		opening:      true,
+		openSequence: packet.Sequence,
+		started:      now,
+		lastSeen:     now,
+		askedAt:      now,
+	}
+	s.remember(known)
+	weights.count++
+	return Verdict{Action: Forward, Backend: choice.member, Placed: true, Spilled: choice.spilled}
+}
+
+// steerEstablished forwards a packet of a flow that a back end has answered.
+func (s *Steerer) steerEstablished(now time.Duration, packet *Packet) Verdict {
+	known := s.flows[packet.Flow]
+	if known == nil {
+		return s.adopt(now, packet)
+	}
+	verdict := Verdict{Action: Forward}
+	if known.member.Tag != packet.Tag {
+		verdict.Repinned = s.reconcile(known, packet)
+	}
+	verdict.Backend = known.member
+	known.observe(now, packet)
+	if packet.Kind == Abort {
+		s.forget(known)
+	}
+	return verdict
+}
+
+// adopt learns from its tag a flow that came from another balancer.
+func (s *Steerer) adopt(now time.Duration, packet *Packet) Verdict {
+	member := s.tagged(packet)
+	if member == nil {
+		return drop(errkind.UnknownTag)
+	}
+	if packet.Kind == Abort {
+		return Verdict{Action: Forward, Backend: member}
+	}
+	known := &record{
+		key:      packet.Flow,
+		member:   member,
+		backend:  s.stateOf(member),
+		started:  now,
+		lastSeen: now,
+	}
+	s.remember(known)
+	known.observe(now, packet)
+	return Verdict{Action: Forward, Backend: member}
+}
+
+// reconcile decides between the tag of a packet and the back end that the flow is
+// remembered at. While a flow opens, the tag tells which back end answered. Later
+// a differing tag comes from a second back end that answered a late copy of the
+// opening packet; the flow rests on the first, which alone holds its data.
+func (s *Steerer) reconcile(known *record, packet *Packet) (repinned bool) {
+	if !known.opening {
+		return true
+	}
+	member := s.tagged(packet)
+	if member == nil {
+		return false
+	}
+	known.backend.leave(known)
+	known.member, known.backend = member, s.stateOf(member)
+	known.backend.join(known)
+	return false
+}
+
+// tagged returns the back end that the packet's tag names, nil for none. Where
+// two share a tag, the one that the packet's service uses is meant.
+func (s *Steerer) tagged(packet *Packet) *directory.Member {
+	members := s.view.Tagged(packet.Tag)
+	if len(members) == 0 {
+		return nil
+	}
+	if len(members) == 1 || s.view.Settings == nil {
+		return members[0]
+	}
+	service := s.view.Settings.ServiceAt(packet.Flow.Service)
+	if service == nil {
+		return members[0]
+	}
+	for _, member := range members {
+		for i := range service.Groups {
+			if service.Groups[i].Discover == member.Group {
+				return member
+			}
+		}
+	}
+	return members[0]
+}
+
+func drop(reason errkind.Kind) Verdict {
+	return Verdict{Action: Drop, Reason: reason}
+}
+
+func refuse(reason errkind.Kind) Verdict {
+	return Verdict{Action: Refuse, Reason: reason}
+}
--- a/internal/platform/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,6 @@
-// Package platform holds the clients of what the platform gives: the key-value
-// service, the machine list and the back ends' load endpoints.
-package platform
+// Package store is the client of the key-value service that holds the operators'
+// tree: reads, commits by compare-and-swap, history and watches.
+package store
 
 import (
 	"bytes"
@@ -66,16 +66,16 @@
 	storeRevision int64
 }
 
-// Store is a client of the key-value service: the JSON form of the etcd v3 API.
+// Client is a client of the key-value service: the JSON form of the etcd v3 API.
 // Safe for concurrent use.
-type Store struct {
+type Client struct {
 	endpoint string
 	client   *http.Client
 }
 
-// NewStore returns a client of the service at endpoint, such as http://127.0.0.1:2379.
-func NewStore(endpoint string) *Store {
-	return &Store{endpoint: strings.TrimSuffix(endpoint, "/"), client: &http.Client{}}
+// New returns a client of the service at endpoint, such as http://127.0.0.1:2379.
+func New(endpoint string) *Client {
+	return &Client{endpoint: strings.TrimSuffix(endpoint, "/"), client: &http.Client{}}
 }
 
 // int64Text is a 64-bit number, which the API writes as a string.
@@ -170,7 +170,7 @@
 }
 
 // post calls one method of the API.
-func (s *Store) post(ctx context.Context, method string, request, response any) error {
+func (s *Client) post(ctx context.Context, method string, request, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	body, err := s.open(ctx, method, request)
@@ -181,7 +181,7 @@
 	return Unavailable.Wrap(json.NewDecoder(body).Decode(response))
 }
 
-func (s *Store) open(ctx context.Context, method string, request any) (io.ReadCloser, error) {
+func (s *Client) open(ctx context.Context, method string, request any) (io.ReadCloser, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return nil, err
@@ -210,7 +210,7 @@
 }
 
 // Load reads the tree.
-func (s *Store) Load(ctx context.Context) (*State, error) {
+func (s *Client) Load(ctx context.Context) (*State, error) {
 	var response rangeResponse
 	request := rangeRequest{Key: []byte(treePrefix), RangeEnd: prefixEnd(treePrefix)}
 	if err := s.post(ctx, "/v3/kv/range", request, &response); err != nil {
@@ -248,7 +248,7 @@
 // all. It returns ErrConflict when another edit was accepted first. When the
 // reply is lost, the error is of class Unavailable, and Settle tells what became
 // of the edit.
-func (s *Store) Commit(ctx context.Context, from *State, next settings.Tree, edit Edit) error {
+func (s *Client) Commit(ctx context.Context, from *State, next settings.Tree, edit Edit) error {
 	head, err := json.Marshal(Head{Revision: edit.Revision, EditID: edit.EditID})
 	if err != nil {
 		return err
@@ -321,7 +321,7 @@
 
 // Settle tells whether the edit was accepted, by reading back. It is for a
 // write whose reply was lost.
-func (s *Store) Settle(ctx context.Context, edit Edit) (accepted bool, err error) {
+func (s *Client) Settle(ctx context.Context, edit Edit) (accepted bool, err error) {
 	var response rangeResponse
 	if err := s.post(ctx, "/v3/kv/range", rangeRequest{Key: []byte(historyKey(edit.Revision))}, &response); err != nil {
 		return false, err
@@ -337,7 +337,7 @@
 }
 
 // History returns the newest edits, newest first.
-func (s *Store) History(ctx context.Context, limit int) ([]Edit, error) {
+func (s *Client) History(ctx context.Context, limit int) ([]Edit, error) {
 	var response rangeResponse
 	request := rangeRequest{Key: []byte(historyPrefix), RangeEnd: prefixEnd(historyPrefix), Limit: int64(limit), SortOrder: "DESCEND", SortTarget: "KEY"}
 	if err := s.post(ctx, "/v3/kv/range", request, &response); err != nil {
@@ -354,7 +354,7 @@
 
 // Watch calls changed with the tree after every accepted edit, until ctx ends
 // or the store fails. It starts from a state that Load returned.
-func (s *Store) Watch(ctx context.Context, state *State, changed func(*State)) error {
+func (s *Client) Watch(ctx context.Context, state *State, changed func(*State)) error {
 	request := watchRequest{Create: watchCreate{
 		Key:           []byte(treePrefix),
 		RangeEnd:      prefixEnd(treePrefix),
--- a/internal/wire/answer.go
+++ b/internal/wire/answer.go
@@ -16,13 +16,22 @@
 // maxAnswer is room enough for every answer that a balancer writes, in bytes.
 const maxAnswer = 128
 
+// replyCodes has the CoAP response code of each reply; codes.Empty means that no
+// answer is sent.
+var replyCodes = map[errkind.Reply]codes.Code{
+	errkind.Silent:      codes.Empty,
+	errkind.Unavailable: codes.ServiceUnavailable,
+	errkind.Timeout:     codes.GatewayTimeout,
+}
+
 // EncodeAnswer returns the datagram, header included, that tells a caller how
 // its request failed; nil when the kind is not answered. A request that is
 // still unacknowledged is answered in its acknowledgement, another one in a
 // message of its own with messageID.
 func EncodeAnswer(packet *balancer.Packet, kind errkind.Kind, retry time.Duration, messageID uint16) ([]byte, error) {
 	row := kind.Answer()
-	if row.Code == codes.Empty {
+	code := replyCodes[row.Reply]
+	if code == codes.Empty {
 		return nil, nil
 	}
 	header, err := AnswerHeader(packet.Flow, netip.AddrPort{})
@@ -30,7 +39,7 @@
 		return nil, err
 	}
 	answer := message.Message{
-		Code:      row.Code,
+		Code:      code,
 		Token:     packet.Token.Bytes[:packet.Token.Length],
 		Type:      message.NonConfirmable,
 		MessageID: int32(messageID),
