Balancers of a zone follow each other; the store is asked by few

A new process reads everything, departed back ends too, from the first that answers. The heap grows by 25% at most.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -121,6 +121,8 @@
 	resolved *settings.Snapshot
 	live     map[settings.BackendID]entry
 	gone     map[settings.BackendID]departed
+	// forgotten is the newest revision at which a forgotten back end departed.
+	forgotten uint64
 }
 
 // New returns an empty directory that remembers departed back ends for keep.
@@ -244,12 +246,38 @@
 	for id, left := range d.gone {
 		if now-left.at > d.keep {
 			delete(d.gone, id)
+			d.forgotten = max(d.forgotten, left.Revision)
 			forgotten = true
 		}
 	}
 	return forgotten
 }
 
+// Since returns what changed after an earlier revision, for another balancer that
+// is complete up to there. It is not known when back ends that departed since then
+// have been forgotten; the other balancer then needs a Listing.
+func (d *Directory) Since(after uint64) (changes *Changes, known bool) {
+	if after == 0 || after < d.forgotten {
+		return nil, false
+	}
+	changes = &Changes{Revision: d.revision}
+	if d.settings.Revision > after {
+		current := d.settings
+		changes.Settings = &current
+	}
+	for _, id := range d.liveIDs() {
+		if record := d.live[id].Record; record.Revision > after {
+			changes.Records = append(changes.Records, record)
+		}
+	}
+	for _, id := range d.goneIDs() {
+		if left := d.gone[id]; left.Revision > after {
+			changes.Gone = append(changes.Gone, Gone{ID: id, Revision: left.Revision})
+		}
+	}
+	return changes, true
+}
+
 // Listing returns everything believed, for another balancer.
 func (d *Directory) Listing() *Listing {
 	listing := &Listing{Revision: d.revision}
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -22,6 +22,8 @@
 	Ready netip.AddrPort `yaml:"ready"`
 	// Control serves other balancers.
 	Control netip.AddrPort `yaml:"control"`
+	// PeerPort is the port for datagrams between balancers, the same on all machines.
+	PeerPort uint16 `yaml:"peer_port"`
 	// Seeds are control addresses of other balancers, perhaps stale.
 	Seeds []netip.AddrPort `yaml:"seeds"`
 	// Store is the address of the platform's store.
@@ -94,14 +96,16 @@
 		fault("zone", "is missing")
 	}
 	for _, address := range []struct {
-		field    string
-		value    netip.AddrPort
-		required bool
-	}{{"data", c.Data, true}, {"ready", c.Ready, true}, {"store", c.Store, true}, {"control", c.Control, false}} {
-		if !address.value.IsValid() && address.required {
+		field string
+		value netip.AddrPort
+	}{{"data", c.Data}, {"ready", c.Ready}, {"store", c.Store}, {"control", c.Control}} {
+		if !address.value.IsValid() {
 			fault(address.field, "wants IP:port")
 		}
 	}
+	if c.PeerPort == 0 {
+		fault("peer_port", "wants a port")
+	}
 	if c.Workers < 1 || c.Workers > maxProcessWorkers {
 		fault("workers", "%d is not within 1 to %d", c.Workers, maxProcessWorkers)
 	}
--- a/internal/edge/main.go
+++ b/internal/edge/main.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -18,6 +19,10 @@
 	exitInvalid = 2
 )
 
+// gcPercent is how much the heap may grow between two collections. The process
+// allocates little, so that a small heap costs it little processor time.
+const gcPercent = 25
+
 type arguments struct {
 	Settings string `arg:"--settings,env:GAUGEYARD_SETTINGS,required" help:"settings file of the process (YAML)"`
 	Check    bool   `arg:"--check" help:"check the settings file and end"`
@@ -60,6 +65,7 @@
 // run serves until SIGTERM or an interrupt has led to the end of a planned stop.
 // A second signal ends it at once.
 func run(config Config, out, errOut io.Writer, adapt func(config *Config, rejected func(err error)) Adapter) int {
+	debug.SetGCPercent(gcPercent)
 	node, err := New(config, out)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -16,6 +16,7 @@
 
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/peers"
 	"gaugeyard/internal/settings"
 	"gaugeyard/internal/steering"
 )
@@ -44,15 +45,28 @@
 	metrics *processMetrics
 	data    *net.UDPConn
 	started time.Time
-	contact contact
+	peer    *net.UDPConn
+	// peerClient calls other balancers.
+	peerClient *http.Client
 
-	// mutex guards directory and steerer; it is the only lock.
+	// contact, following and historyLost belong to the follower's goroutine.
+	contact     contact
+	following   string
+	historyLost bool
+
+	// mutex guards directory, steerer, peers and confirmedAt. It is taken before
+	// the lock of changed, and no other lock is taken under it.
 	mutex     sync.Mutex
 	directory *directory.Directory
 	steerer   *steering.Steerer
-
-	// synced is set once the desired state is known.
-	synced atomic.Bool
+	peers     *peers.Table
+	// confirmedAt is when the store last confirmed what is believed.
+	confirmedAt time.Duration
+
+	// changed wakes balancers that wait for changes here.
+	changed broadcast
+	// learning is set once another balancer is asked for everything.
+	learning atomic.Bool
 	// leaving is set by a planned stop.
 	leaving atomic.Bool
 	// lastPacket is when the last packet came, by now().
@@ -72,14 +86,21 @@
 	// The kernel may grant less; that is no fault.
 	_ = data.SetReadBuffer(socketBuffer)
 	_ = data.SetWriteBuffer(socketBuffer)
+	peer, err := listenPeers(config.Control, config.PeerPort)
+	if err != nil {
+		return nil, errors.Join(err, data.Close())
+	}
 	lines := newLineWriter(out)
 	n := &Node{
-		config:    config,
-		lines:     lines,
-		log:       newLogger(config.Node, lines),
-		data:      data,
-		started:   time.Now(),
-		directory: directory.New(config.Bounds.FlowLife + config.Bounds.Drain),
+		config:     config,
+		lines:      lines,
+		log:        newLogger(config.Node, lines),
+		data:       data,
+		peer:       peer,
+		peerClient: NewHTTPClient(),
+		peers:      peers.New(peers.Introduction{Control: config.Control, Zone: config.Zone}),
+		started:    time.Now(),
+		directory:  directory.New(config.Bounds.FlowLife + config.Bounds.Drain),
 		steerer: steering.New(steering.Config{
 			Zone:       config.Zone,
 			FlowLife:   config.Bounds.FlowLife,
@@ -115,6 +136,9 @@
 	}
 	group.Go(func() error { return n.follow(ctx) })
 	group.Go(func() error { return n.serve(ctx, n.config.Ready.String(), n.readyHandler()) })
+	group.Go(func() error { return n.serve(ctx, n.config.Control.String(), n.controlHandler()) })
+	group.Go(func() error { return n.sendHellos(ctx) })
+	group.Go(func() error { return n.receiveHellos(ctx) })
 	group.Go(func() error { return n.tick(ctx) })
 	group.Go(func() error {
 		defer cancel()
@@ -122,7 +146,7 @@
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		return n.data.Close()
+		return errors.Join(n.data.Close(), n.peer.Close())
 	})
 	err := group.Wait()
 	if errors.Is(err, context.Canceled) {
--- a/internal/edge/readiness.go
+++ b/internal/edge/readiness.go
@@ -20,7 +20,7 @@
 
 // ready tells whether new flows may come here.
 func (n *Node) ready() bool {
-	return n.synced.Load() && !n.leaving.Load() && n.settingsKnown()
+	return !n.leaving.Load() && n.settingsKnown()
 }
 
 func (n *Node) settingsKnown() bool {
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,231 @@
+// Package peers keeps what one balancer knows of others: who is alive, how fresh
+// each one's beliefs are, and from whom this one should hear of changes. It is pure:
+// no clock, no socket.
+//
+// Balancers follow each other so that the store is asked by few. In a zone, a
+// balancer follows a live peer with a lower rank, if there is one; ranks are a hash
+// of the address. Ranks fall strictly along the chain, so that there are no
+// circles, and a balancer with no lower neighbour asks the store itself. Each keeps
+// only the neighbours nearest to itself by hash, so that tables stay small in large
+// zones, and about one balancer in maxZonePeers asks the store.
+package peers
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	// HelloInterval is the time between two rounds of hellos.
+	HelloInterval = 500 * time.Millisecond
+	// aliveTime is the silence after which a peer no longer counts as alive.
+	aliveTime = 1600 * time.Millisecond
+	// forgetTime is the silence after which a peer is forgotten.
+	forgetTime = 30 * time.Second
+	// maxZonePeers and maxOtherPeers bound the table.
+	maxZonePeers  = 24
+	maxOtherPeers = 8
+	// sampleSize is how many other peers a hello names.
+	sampleSize = 4
+)
+
+// Rank orders balancers; a lower one is followed by a higher one.
+type Rank uint64
+
+// RankOf returns the rank of the balancer at an address.
+func RankOf(address netip.AddrPort) Rank {
+	return Rank(xxh3.HashString(address.String()))
+}
+
+// Hello is what balancers tell each other, in a datagram.
+type Hello struct {
+	// Control is the sender's address for other balancers.
+	Control netip.AddrPort
+	Zone    string
+	// Started tells runs of a process apart: its start, in nanoseconds of the
+	// sender's clock.
+	Started int64
+	// Leaving is set during a planned stop.
+	Leaving bool
+	// Revision is up to where the sender's beliefs are complete.
+	Revision uint64
+	// StoreAge is how long ago the store confirmed them, directly or along the chain.
+	StoreAge time.Duration
+	// Others are more balancers.
+	Others []Introduction
+	// Reply asks for a hello in return.
+	Reply bool
+}
+
+// Introduction names another balancer.
+type Introduction struct {
+	Control netip.AddrPort
+	Zone    string
+}
+
+// Peer is one other balancer.
+type Peer struct {
+	Hello
+	rank  Rank
+	heard time.Duration
+	// everHeard is unset while the peer is known from others only.
+	everHeard bool
+}
+
+// Table is what one balancer knows of others. It is not safe for concurrent use.
+type Table struct {
+	self  Introduction
+	rank  Rank
+	peers map[netip.AddrPort]*Peer
+	round int
+}
+
+// New returns a table of the balancer itself that knows no other.
+func New(self Introduction) *Table {
+	return &Table{self: self, rank: RankOf(self.Control), peers: map[netip.AddrPort]*Peer{}}
+}
+
+// Introduce adds a balancer that was not heard yet.
+func (t *Table) Introduce(now time.Duration, other Introduction) {
+	if other.Control == t.self.Control || !other.Control.IsValid() || t.peers[other.Control] != nil {
+		return
+	}
+	t.peers[other.Control] = &Peer{
+		Hello: Hello{Control: other.Control, Zone: other.Zone},
+		rank:  RankOf(other.Control),
+		heard: now,
+	}
+}
+
+// Heard takes over a hello. It tells whether the sender is new or was started anew.
+func (t *Table) Heard(now time.Duration, hello *Hello) (isNew bool) {
+	if hello.Control == t.self.Control || !hello.Control.IsValid() {
+		return false
+	}
+	t.Introduce(now, Introduction{hello.Control, hello.Zone})
+	known := t.peers[hello.Control]
+	if known.everHeard && hello.Started < known.Started {
+		return false
+	}
+	isNew = !known.everHeard || hello.Started != known.Started
+	known.Hello, known.heard, known.everHeard = *hello, now, true
+	for _, other := range hello.Others {
+		t.Introduce(now, other)
+	}
+	t.trim()
+	return isNew
+}
+
+// trim keeps the peers nearest by hash in the own zone, and some elsewhere.
+func (t *Table) trim() {
+	var zone, others []*Peer
+	for _, peer := range t.peers {
+		if peer.Zone == t.self.Zone {
+			zone = append(zone, peer)
+		} else {
+			others = append(others, peer)
+		}
+	}
+	t.dropFarthest(zone, maxZonePeers)
+	t.dropFarthest(others, maxOtherPeers)
+}
+
+func (t *Table) dropFarthest(list []*Peer, most int) {
+	if len(list) <= most {
+		return
+	}
+	slices.SortFunc(list, func(a, b *Peer) int {
+		return cmp.Compare(a.rank^t.rank, b.rank^t.rank)
+	})
+	for _, peer := range list[most:] {
+		delete(t.peers, peer.Control)
+	}
+}
+
+// Forget drops peers that have been silent for long.
+func (t *Table) Forget(now time.Duration) {
+	for address, peer := range t.peers {
+		if now-peer.heard > forgetTime {
+			delete(t.peers, address)
+		}
+	}
+}
+
+// Alive returns the peers that were heard lately, in order of rank.
+func (t *Table) Alive(now time.Duration) []*Peer {
+	var alive []*Peer
+	for _, peer := range t.peers {
+		if peer.everHeard && now-peer.heard <= aliveTime {
+			alive = append(alive, peer)
+		}
+	}
+	slices.SortFunc(alive, func(a, b *Peer) int { return cmp.Compare(a.rank, b.rank) })
+	return alive
+}
+
+// Targets returns where the hellos of this round go: all peers of the zone, and
+// one elsewhere in turn.
+func (t *Table) Targets(now time.Duration) []netip.AddrPort {
+	t.round++
+	var targets []netip.AddrPort
+	var others []netip.AddrPort
+	for address, peer := range t.peers {
+		if peer.Zone == t.self.Zone || peer.Zone == "" {
+			targets = append(targets, address)
+		} else {
+			others = append(others, address)
+		}
+	}
+	slices.SortFunc(targets, netip.AddrPort.Compare)
+	slices.SortFunc(others, netip.AddrPort.Compare)
+	if len(others) > 0 {
+		targets = append(targets, others[t.round%len(others)])
+	}
+	return targets
+}
+
+// Sample returns some live peers to introduce to others, in turn.
+func (t *Table) Sample(now time.Duration) []Introduction {
+	alive := t.Alive(now)
+	var sample []Introduction
+	for i := range min(sampleSize, len(alive)) {
+		peer := alive[(t.round*sampleSize+i)%len(alive)]
+		sample = append(sample, Introduction{peer.Control, peer.Zone})
+	}
+	return sample
+}
+
+// Age is how long ago the store confirmed the peer's beliefs, as far as is known now.
+func (p *Peer) Age(now time.Duration) time.Duration {
+	return p.StoreAge + now - p.heard
+}
+
+// Upstream returns the peer to follow: the lowest rank of the zone below the own,
+// alive, not leaving, with beliefs confirmed within maxAge. There is none where
+// this balancer should ask the store itself.
+func (t *Table) Upstream(now, maxAge time.Duration) (*Peer, bool) {
+	for _, peer := range t.Alive(now) {
+		if peer.rank >= t.rank {
+			return nil, false
+		}
+		if peer.Zone == t.self.Zone && !peer.Leaving && peer.Age(now) <= maxAge {
+			return peer, true
+		}
+	}
+	return nil, false
+}
+
+// Freshest returns the live peer with the newest revision above the given one.
+func (t *Table) Freshest(now time.Duration, above uint64) (*Peer, bool) {
+	var freshest *Peer
+	for _, peer := range t.Alive(now) {
+		if peer.Revision > above && (freshest == nil || peer.Revision > freshest.Revision) {
+			freshest = peer
+		}
+	}
+	return freshest, freshest != nil
+}
