--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -135,6 +135,9 @@
 	}
 }
 
+// Keep changes how long departed back ends are remembered.
+func (d *Directory) Keep(keep time.Duration) { d.keep = keep }
+
 // Revision is the store's revision up to which the directory is complete, 0 for none.
 func (d *Directory) Revision() uint64 { return d.revision }
 
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,178 @@
+package directory
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gaugeyard/internal/settings"
+)
+
+const keep = 10 * time.Second
+
+func backend(id settings.BackendID, draining bool) Backend {
+	return Backend{
+		ID: id, Group: "fonts", Zone: "a", Slots: 2, Draining: draining,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80),
+	}
+}
+
+func record(id settings.BackendID, revision uint64) Record {
+	return Record{Backend: backend(id, false), Revision: revision}
+}
+
+func version(t *testing.T, number, revision uint64, address string) *Settings {
+	t.Helper()
+	tree := settings.Tree{"": settings.Values{}}
+	if err := tree.Set("fonts", settings.KeyAddress, address); err != nil {
+		t.Fatal(err)
+	}
+	return &Settings{Version: number, Revision: revision, Tree: tree}
+}
+
+func open(view *View) []settings.BackendID {
+	var ids []settings.BackendID
+	for _, member := range view.Pool("fonts").Open {
+		ids = append(ids, member.ID)
+	}
+	return ids
+}
+
+func wantOpen(t *testing.T, d *Directory, want ...settings.BackendID) {
+	t.Helper()
+	got := open(d.View())
+	if len(got) != len(want) {
+		t.Fatalf("open back ends %v, want %v", got, want)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("open back ends %v, want %v", got, want)
+		}
+	}
+}
+
+// TestAnOlderRevisionIsNeverApplied: what another balancer or a late answer tells
+// may be older than what is believed.
+func TestAnOlderRevisionIsNeverApplied(t *testing.T) {
+	d := New(keep)
+	d.Replace(0, &Listing{Revision: 20, Settings: version(t, 5, 18, "192.0.2.1:80"), Records: []Record{record(1, 10), record(2, 19)}})
+	t.Run("listing", func(t *testing.T) {
+		d.Replace(0, &Listing{Revision: 12, Settings: version(t, 4, 9, "192.0.2.9:80"), Records: []Record{record(1, 10), record(3, 11)}})
+		wantOpen(t, d, 1, 2)
+	})
+	t.Run("changes", func(t *testing.T) {
+		d.Apply(0, &Changes{Revision: 19, Settings: version(t, 4, 9, "192.0.2.9:80"), Gone: []Gone{{ID: 2, Revision: 15}}})
+		wantOpen(t, d, 1, 2)
+	})
+	if d.SettingsVersion() != 5 || d.Revision() != 20 {
+		t.Errorf("version %d, revision %d", d.SettingsVersion(), d.Revision())
+	}
+	if d.View().Settings.ServiceAt(netip.MustParseAddrPort("192.0.2.1:80")) == nil {
+		t.Error("the newer settings are not in force any more")
+	}
+}
+
+// TestAnEntryThatVanishedBetweenTwoListingsIsGone: when the store has lost its
+// history, the changes in the gap are known from the difference alone.
+func TestAnEntryThatVanishedBetweenTwoListingsIsGone(t *testing.T) {
+	d := New(keep)
+	d.Replace(0, &Listing{Revision: 5, Records: []Record{record(1, 3), record(2, 4)}})
+	events := d.Replace(time.Second, &Listing{Revision: 9, Records: []Record{record(2, 4)}})
+	wantOpen(t, d, 2)
+	if len(events) != 1 || events[0].Transition != BackendGone || events[0].Backend.ID != 1 {
+		t.Errorf("events %+v", events)
+	}
+}
+
+// TestPagesAreNoSnapshot: an entry may be newer than the listing's revision, and
+// the changes after it repeat what the pages showed or missed.
+func TestPagesAreNoSnapshot(t *testing.T) {
+	d := New(keep)
+	d.Replace(0, &Listing{Revision: 10, Records: []Record{record(1, 12)}})
+	d.Apply(0, &Changes{Revision: 13, Records: []Record{record(1, 11), record(1, 12), record(3, 13)}, Gone: []Gone{{ID: 1, Revision: 11}}})
+	wantOpen(t, d, 1, 3)
+}
+
+// TestDepartedBackEndsKeepTheirTag for as long as a flow may live.
+func TestDepartedBackEndsKeepTheirTag(t *testing.T) {
+	d := New(keep)
+	d.Replace(0, &Listing{Revision: 5, Records: []Record{record(1, 3)}})
+	d.Apply(time.Second, &Changes{Revision: 6, Gone: []Gone{{ID: 1, Revision: 6}}})
+	wantOpen(t, d)
+	members := d.View().Tagged(TagOf(1))
+	if len(members) != 1 || !members[0].Gone || members[0].GoneAt != time.Second {
+		t.Fatalf("tagged %+v", members)
+	}
+	if d.Forget(keep) || len(d.View().Tagged(TagOf(1))) != 1 {
+		t.Error("forgotten too early")
+	}
+	if !d.Forget(2*keep) || len(d.View().Tagged(TagOf(1))) != 0 {
+		t.Error("never forgotten")
+	}
+}
+
+func TestDrainingBackEndsTakeNoNewFlow(t *testing.T) {
+	d := New(keep)
+	d.Replace(0, &Listing{Revision: 5, Records: []Record{record(1, 3), {Backend: backend(2, true), Revision: 4}}})
+	wantOpen(t, d, 1)
+	if len(d.View().Tagged(TagOf(2))) != 1 {
+		t.Error("a draining back end must keep its flows")
+	}
+	events := d.Apply(0, &Changes{Revision: 6, Records: []Record{{Backend: backend(1, true), Revision: 6}}})
+	wantOpen(t, d)
+	if len(events) != 1 || events[0].Transition != BackendDraining {
+		t.Errorf("events %+v", events)
+	}
+}
+
+// TestFaultySettingsLeaveTheLastGoodOnesInForce.
+func TestFaultySettingsLeaveTheLastGoodOnesInForce(t *testing.T) {
+	d := New(keep)
+	d.Replace(0, &Listing{Revision: 5, Settings: version(t, 1, 4, "192.0.2.1:80")})
+	broken := version(t, 2, 6, "192.0.2.2:80")
+	broken.Tree["lost/child"] = settings.Values{}
+	events := d.Apply(0, &Changes{Revision: 6, Settings: broken})
+	if len(events) != 1 || events[0].Transition != SettingsRefused || events[0].Err == nil {
+		t.Fatalf("events %+v", events)
+	}
+	if d.SettingsVersion() != 1 || d.View().Settings.ServiceAt(netip.MustParseAddrPort("192.0.2.1:80")) == nil {
+		t.Error("the last good settings are not in force")
+	}
+}
+
+// TestSinceLeadsAnotherDirectoryToTheSameView, and refuses when departures since
+// then are forgotten.
+func TestSinceLeadsAnotherDirectoryToTheSameView(t *testing.T) {
+	first, second := New(keep), New(keep)
+	listing := &Listing{Revision: 5, Settings: version(t, 1, 2, "192.0.2.1:80"), Records: []Record{record(1, 3), record(2, 4)}}
+	first.Replace(0, listing)
+	second.Replace(0, first.Listing())
+	first.Apply(0, &Changes{Revision: 9, Settings: version(t, 3, 7, "192.0.2.3:80"), Records: []Record{record(3, 8)}, Gone: []Gone{{ID: 1, Revision: 9}}})
+	changes, known := first.Since(5)
+	if !known {
+		t.Fatal("changes are not known")
+	}
+	second.Apply(0, changes)
+	wantOpen(t, second, 2, 3)
+	if second.Revision() != 9 || second.SettingsVersion() != 3 || len(second.View().Tagged(TagOf(1))) != 1 {
+		t.Errorf("revision %d, version %d", second.Revision(), second.SettingsVersion())
+	}
+	first.Forget(3 * keep)
+	if _, known := first.Since(5); known {
+		t.Error("a forgotten departure is not mentioned")
+	}
+	if _, known := first.Since(9); !known {
+		t.Error("nothing has been forgotten since revision 9")
+	}
+}
+
+// TestALateDepartureFromAnotherBalancerDoesNotHideALiveBackEnd.
+func TestALateDepartureFromAnotherBalancerDoesNotHideALiveBackEnd(t *testing.T) {
+	d := New(keep)
+	d.Replace(0, &Listing{Revision: 8, Records: []Record{record(1, 8)}})
+	d.Replace(0, &Listing{Revision: 4, Departed: []Record{record(1, 3), record(2, 2)}})
+	wantOpen(t, d, 1)
+	if members := d.View().Tagged(TagOf(2)); len(members) != 1 || !members[0].Gone {
+		t.Error("a back end that left before this balancer started is not known")
+	}
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -74,7 +74,7 @@
 }
 
 func (n *Node) maxPeerAge() time.Duration {
-	return time.Duration(float64(n.config.Bounds.Contact) / peerAgePart)
+	return time.Duration(float64(n.config().Bounds.Contact) / peerAgePart)
 }
 
 // followPeer waits once for changes from another balancer. It returns false when
@@ -107,7 +107,7 @@
 	if n.historyLost || n.revision() == 0 {
 		return n.list(ctx)
 	}
-	wait := n.config.Bounds.Contact / storeWaitPart
+	wait := n.config().Bounds.Contact / storeWaitPart
 	call, cancel := context.WithTimeout(ctx, wait+changesSlack)
 	defer cancel()
 	n.metrics.storeCalls.Inc()
@@ -207,7 +207,7 @@
 		return
 	}
 	root := next.Tree[""]
-	for key, value := range n.config.Defaults {
+	for key, value := range n.config().Defaults {
 		if _, given := root[key]; !given {
 			root[key] = value
 		}
--- a/internal/edge/main.go
+++ b/internal/edge/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 )
@@ -19,6 +20,9 @@
 	exitInvalid = 2
 )
 
+// signalQueue is how many signals may wait to be handled.
+const signalQueue = 4
+
 // gcPercent is how much the heap may grow between two collections. The process
 // allocates little, so that a small heap costs it little processor time.
 const gcPercent = 25
@@ -59,12 +63,12 @@
 	if parsed.Check {
 		return exitOK
 	}
-	return run(config, out, errOut, adapt)
+	return run(parsed.Settings, config, out, errOut, adapt)
 }
 
 // run serves until SIGTERM or an interrupt has led to the end of a planned stop.
-// A second signal ends it at once.
-func run(config Config, out, errOut io.Writer, adapt func(config *Config, rejected func(err error)) Adapter) int {
+// A second one ends it at once; SIGHUP reads the settings file again.
+func run(path string, config Config, out, errOut io.Writer, adapt func(config *Config, rejected func(err error)) Adapter) int {
 	debug.SetGCPercent(gcPercent)
 	node, err := New(config, out)
 	if err != nil {
@@ -74,14 +78,9 @@
 	node.adapter = adapt(&config, node.rejected)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	go func() {
-		<-signals
-		node.Leave()
-		<-signals
-		cancel()
-	}()
+	signals := make(chan os.Signal, signalQueue)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	go node.handleSignals(signals, path, cancel)
 	if err := node.Run(ctx); err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitFailed
@@ -89,6 +88,31 @@
 	return exitOK
 }
 
+// handleSignals carries out what signals ask for, and looks now and then whether the
+// settings file changed without one.
+func (n *Node) handleSignals(signals <-chan os.Signal, path string, cancel context.CancelFunc) {
+	look := time.NewTicker(reloadInterval)
+	defer look.Stop()
+	stopping := false
+	for {
+		select {
+		case received := <-signals:
+			switch {
+			case received == syscall.SIGHUP:
+				n.reload(path, true)
+			case stopping:
+				cancel()
+				return
+			default:
+				stopping = true
+				n.Leave()
+			}
+		case <-look.C:
+			n.reload(path, false)
+		}
+	}
+}
+
 // rejected logs a part of the desired state that could not be read.
 func (n *Node) rejected(err error) {
 	n.log.Error("entry rejected, the last good one stays in force", "revision", n.viewRevision.Load(), "error", err)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -38,14 +38,17 @@
 
 // Node is one running balancer process.
 type Node struct {
-	config  Config
-	adapter Adapter
-	log     hclog.Logger
-	lines   *lineWriter
-	metrics *processMetrics
-	data    *net.UDPConn
-	started time.Time
-	peer    *net.UDPConn
+	// current is the configuration in force; a reload replaces it.
+	current atomic.Pointer[Config]
+	// document is the settings file as last read; only the signal handler uses it.
+	document []byte
+	adapter  Adapter
+	log      hclog.Logger
+	lines    *lineWriter
+	metrics  *processMetrics
+	data     *net.UDPConn
+	started  time.Time
+	peer     *net.UDPConn
 	// peerClient calls other balancers.
 	peerClient *http.Client
 
@@ -95,7 +98,6 @@
 	}
 	lines := newLineWriter(out)
 	n := &Node{
-		config:     config,
 		lines:      lines,
 		log:        newLogger(config.Node, lines),
 		data:       data,
@@ -103,18 +105,33 @@
 		peerClient: NewHTTPClient(),
 		peers:      peers.New(peers.Introduction{Control: config.Control, Zone: config.Zone}),
 		started:    time.Now(),
-		directory:  directory.New(config.Bounds.FlowLife + config.Bounds.Drain),
-		steerer: steering.New(steering.Config{
-			Zone:       config.Zone,
-			FlowLife:   config.Bounds.FlowLife,
-			LapseGrace: config.Bounds.Drain / 2,
-		}),
-		stop: make(chan struct{}),
+		directory:  directory.New(departedTime(&config)),
+		steerer:    steering.New(steeringConfig(&config)),
+		stop:       make(chan struct{}),
 	}
+	n.current.Store(&config)
 	n.metrics = newMetrics(n)
 	return n, nil
 }
 
+// config is the configuration in force. It is read-only.
+func (n *Node) config() *Config {
+	return n.current.Load()
+}
+
+func steeringConfig(config *Config) steering.Config {
+	return steering.Config{
+		Zone:       config.Zone,
+		FlowLife:   config.Bounds.FlowLife,
+		LapseGrace: config.Bounds.Drain / 2,
+	}
+}
+
+// departedTime is how long back ends that are gone are remembered.
+func departedTime(config *Config) time.Duration {
+	return config.Bounds.FlowLife + config.Bounds.Drain
+}
+
 // now is how long this process runs, by the monotonic clock.
 func (n *Node) now() time.Duration {
 	return time.Since(n.started)
@@ -133,13 +150,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	n.log.Info("started", "zone", n.config.Zone, "data", n.config.Data, "store", n.config.Store, "first_start", n.config.FirstStart)
-	for range n.config.Workers {
+	n.log.Info("started", "zone", n.config().Zone, "data", n.config().Data, "store", n.config().Store, "first_start", n.config().FirstStart)
+	for range n.config().Workers {
 		group.Go(func() error { return n.receive(ctx) })
 	}
 	group.Go(func() error { return n.follow(ctx) })
-	group.Go(func() error { return n.serve(ctx, n.config.Ready.String(), n.readyHandler()) })
-	group.Go(func() error { return n.serve(ctx, n.config.Control.String(), n.controlHandler()) })
+	group.Go(func() error { return n.serve(ctx, n.config().Ready.String(), n.readyHandler()) })
+	group.Go(func() error { return n.serve(ctx, n.config().Control.String(), n.controlHandler()) })
 	group.Go(func() error { return n.sendHellos(ctx) })
 	group.Go(func() error { return n.receiveHellos(ctx) })
 	group.Go(func() error { return n.tick(ctx) })
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -170,7 +170,7 @@
 
 // peerAddress is where the datagrams for another balancer go.
 func (n *Node) peerAddress(control netip.AddrPort) netip.AddrPort {
-	return netip.AddrPortFrom(control.Addr(), n.config.PeerPort)
+	return netip.AddrPortFrom(control.Addr(), n.config().PeerPort)
 }
 
 // sendHellos tells other balancers at each interval that this one lives.
@@ -181,7 +181,7 @@
 		n.beliefs.Lock()
 		now := n.now()
 		n.peers.Forget(now)
-		for _, seed := range n.config.Seeds {
+		for _, seed := range n.config().Seeds {
 			n.peers.Introduce(now, peers.Introduction{Control: seed})
 		}
 		targets := n.peers.Targets(now)
@@ -203,8 +203,8 @@
 // hello is what this balancer says of itself. The beliefs lock is held.
 func (n *Node) hello(now time.Duration) *peers.Hello {
 	return &peers.Hello{
-		Control:  n.config.Control,
-		Zone:     n.config.Zone,
+		Control:  n.config().Control,
+		Zone:     n.config().Zone,
 		Started:  n.started.UnixNano(),
 		Leaving:  n.leaving.Load(),
 		Revision: n.directory.Revision(),
--- a/internal/edge/readiness.go
+++ b/internal/edge/readiness.go
@@ -31,7 +31,7 @@
 
 func (n *Node) readyHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+n.config.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+n.config().ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !n.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -52,7 +52,7 @@
 	}
 	begun := n.now()
 	n.log.Info("leaving", "revision", n.revision())
-	last := n.config.Bounds.Grace - stopMargin
+	last := n.config().Bounds.Grace - stopMargin
 	for {
 		pause(ctx, stopPoll)
 		passed := n.now() - begun
--- /dev/null
+++ b/internal/edge/reload.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"bytes"
+	"maps"
+	"os"
+	"slices"
+	"time"
+)
+
+// reloadInterval is how often the settings file is looked at without a signal.
+const reloadInterval = 2 * time.Second
+
+// reload reads the settings file again and puts in force what may change while the
+// process runs: seeds, bounds and defaults. A faulty file changes nothing. Without
+// asked, a file that reads as before is not mentioned.
+func (n *Node) reload(path string, asked bool) {
+	document, err := os.ReadFile(path)
+	if err == nil && !asked && bytes.Equal(document, n.document) {
+		return
+	}
+	if err != nil {
+		n.log.Error("settings file not read, the last one stays in force", "error", err)
+		return
+	}
+	first := n.document == nil
+	n.document = document
+	next, faults := ParseConfig(document)
+	if len(faults) > 0 {
+		n.log.Error("settings file refused, the last one stays in force", "error", faults[0], "faults", len(faults))
+		return
+	}
+	changed, fixed := n.reconfigure(&next)
+	if asked || !first {
+		n.log.Info("reloaded", "changed", changed, "needs_restart", fixed)
+	}
+}
+
+// reconfigure puts the changeable fields of next in force. It returns the names of
+// the fields that changed and of those that differ but need a restart.
+func (n *Node) reconfigure(next *Config) (changed, fixed []string) {
+	merged := *n.config()
+	if !slices.Equal(merged.Seeds, next.Seeds) {
+		changed, merged.Seeds = append(changed, "seeds"), next.Seeds
+	}
+	if merged.Bounds != next.Bounds {
+		changed, merged.Bounds = append(changed, "bounds"), next.Bounds
+	}
+	if !maps.Equal(merged.Defaults, next.Defaults) {
+		changed, merged.Defaults = append(changed, "defaults"), next.Defaults
+	}
+	for _, field := range []struct {
+		name     string
+		old, now any
+	}{
+		{"node", merged.Node, next.Node}, {"zone", merged.Zone, next.Zone}, {"data", merged.Data, next.Data},
+		{"ready", merged.Ready, next.Ready}, {"control", merged.Control, next.Control}, {"store", merged.Store, next.Store},
+		{"peer_port", merged.PeerPort, next.PeerPort}, {"workers", merged.Workers, next.Workers}, {"ready_path", merged.ReadyPath, next.ReadyPath},
+	} {
+		if field.old != field.now {
+			fixed = append(fixed, field.name)
+		}
+	}
+	n.current.Store(&merged)
+	n.beliefs.Lock()
+	n.directory.Keep(departedTime(&merged))
+	n.beliefs.Unlock()
+	n.steering.Lock()
+	n.steerer.Reconfigure(steeringConfig(&merged))
+	n.steering.Unlock()
+	return changed, fixed
+}
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// Reconfigure changes the configuration.
+func (s *Steerer) Reconfigure(config Config) { s.config = config }
+
 // SetView takes over a newer view of the desired state.
 func (s *Steerer) SetView(view *directory.View) {
 	s.view = view
