Whom to ask for changes is decided by a pure state machine

Cause: the follower's decisions sat in a goroutine, out of reach of the emulator. Change: internal/follow decides on calls, internal/edge carries them out.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -3,155 +3,140 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"time"
 
 	"gaugeyard/internal/directory"
+	"gaugeyard/internal/follow"
 )
 
-const (
-	// listTimeout bounds one listing.
-	listTimeout = time.Second
-	// changesSlack is how much later than asked for the store's answer may come.
-	changesSlack = 500 * time.Millisecond
-	// firstRetry and lastRetry bound the pause after a failed call; it doubles.
-	firstRetry = 50 * time.Millisecond
-	lastRetry  = 400 * time.Millisecond
-	// gatherTime is the pause after changes, so that those that come together are
-	// read together.
-	gatherTime = 150 * time.Millisecond
-	// storeWaitPart and peerAgePart divide the contact bound: how long the store
-	// is waited for, and how old what another balancer tells may be. Together with
-	// one more call they stay below the bounds of configuration and draining.
-	storeWaitPart = 4
-	peerAgePart   = 2.5
-)
+// learnTimeout bounds the reading of everything from another balancer.
+const learnTimeout = time.Second
 
-// follow keeps the directory up to date until ctx ends: from another balancer
-// where there is one to follow, else from the store. Whatever a call returns, what
-// is believed already stays in force.
+// follow keeps the directory up to date until ctx ends, by the calls that package
+// follow decides on. Whatever a call returns, what is believed already stays in force.
 func (n *Node) follow(ctx context.Context) error {
-	retry := firstRetry
+	follower := follow.New(n.config().Bounds.Contact)
 	for ctx.Err() == nil {
-		if upstream, found := n.upstream(); found && n.followPeer(ctx, upstream) {
+		call := follower.Next(n.followState())
+		if call.Kind == follow.Pause {
+			pause(ctx, call.Wait)
+			follower.Done(call, follow.Outcome{})
 			continue
 		}
-		err := n.followStore(ctx)
+		n.noteSource(call)
+		outcome, err := n.carryOut(ctx, call)
 		if ctx.Err() != nil {
 			break
 		}
-		if err == nil {
-			retry = firstRetry
-			n.contact.regained(n)
-			continue
-		}
-		if errors.Is(err, ErrHistoryLost) {
-			n.log.Info("store history lost", "revision", n.revision())
-			n.historyLost = true
-			continue
-		}
-		n.contact.lost(n, err)
-		n.adapter.Source.Reconnect()
-		n.catchUp(ctx)
-		pause(ctx, retry)
-		retry = min(2*retry, lastRetry)
+		n.noteContact(follower.Done(call, outcome), call, err)
 	}
 	return ctx.Err()
 }
 
-// upstream returns the balancer to follow, which there is not before anything is known.
-func (n *Node) upstream() (netip.AddrPort, bool) {
+// followState is what the next call is decided by.
+func (n *Node) followState() follow.State {
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
-	if n.directory.Revision() == 0 {
-		return netip.AddrPort{}, false
+	now := n.now()
+	state := follow.State{Revision: n.directory.Revision()}
+	if peer, found := n.peers.Upstream(now, follow.MaxPeerAge(n.config().Bounds.Contact)); found {
+		state.Upstream = peer.Control
 	}
-	peer, found := n.peers.Upstream(n.now(), n.maxPeerAge())
-	if !found {
-		return netip.AddrPort{}, false
+	if peer, found := n.peers.Freshest(now, state.Revision); found {
+		state.Freshest = peer.Control
 	}
-	return peer.Control, true
+	return state
 }
 
-func (n *Node) maxPeerAge() time.Duration {
-	return time.Duration(float64(n.config().Bounds.Contact) / peerAgePart)
-}
-
-// followPeer waits once for changes from another balancer. It returns false when
-// the store should be asked instead.
-func (n *Node) followPeer(ctx context.Context, control netip.AddrPort) bool {
-	n.noteUpstream(control.String())
-	call, cancel := context.WithTimeout(ctx, peerWait+peerSlack)
+// carryOut makes one call and takes over what it returns.
+func (n *Node) carryOut(ctx context.Context, call follow.Call) (follow.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
-	answer, err := (&peerSource{n, control}).changes(call, n.revision(), peerWait)
-	if ctx.Err() != nil {
-		return true
-	}
-	if err != nil {
-		n.log.Warn("peer lost", "peer", control, "revision", n.revision(), "error", err)
-		return false
+	var outcome follow.Outcome
+	var err error
+	switch call.Kind {
+	case follow.ListStore:
+		outcome.Changes, err = n.listStore(ctx)
+	case follow.WatchStore:
+		outcome.Changes, err = n.watchStore(ctx, call.Wait)
+	case follow.AskPeer:
+		outcome.Changes, outcome.Age, err = n.askPeer(ctx, call)
 	}
 	switch {
-	case answer.Listing != nil:
-		n.replace(answer.Listing, control.String(), answer.Age)
-	case answer.Changes != nil:
-		n.apply(answer.Changes, control.String(), answer.Age)
+	case errors.Is(err, ErrHistoryLost):
+		outcome.Result = follow.HistoryLost
+	case err != nil:
+		outcome.Result = follow.Failed
 	}
-	return answer.Age <= n.maxPeerAge()
+	return outcome, err
 }
 
-// followStore lists everything, if that has not been done, or else waits once for
-// changes.
-func (n *Node) followStore(ctx context.Context) error {
-	n.noteUpstream("store")
-	if n.historyLost || n.revision() == 0 {
-		return n.list(ctx)
-	}
-	wait := n.config().Bounds.Contact / storeWaitPart
-	call, cancel := context.WithTimeout(ctx, wait+changesSlack)
-	defer cancel()
+func (n *Node) listStore(ctx context.Context) (int, error) {
 	n.metrics.storeCalls.Inc()
-	changes, err := n.adapter.Source.Changes(call, n.revision(), wait)
+	listing, err := n.adapter.Source.List(ctx)
 	if err != nil {
-		return err
-	}
-	if n.apply(changes, "store", 0) > 0 {
-		pause(ctx, gatherTime)
+		return 0, err
 	}
-	return nil
+	n.replace(listing, "store", 0)
+	return 0, nil
 }
 
-func (n *Node) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
+func (n *Node) watchStore(ctx context.Context, wait time.Duration) (int, error) {
 	n.metrics.storeCalls.Inc()
-	listing, err := n.adapter.Source.List(ctx)
+	changes, err := n.adapter.Source.Changes(ctx, n.revision(), wait)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	n.historyLost = false
-	n.replace(listing, "store", 0)
-	return nil
+	return n.apply(changes, "store", 0), nil
 }
 
-// catchUp asks the balancer that knows most, while the store does not answer.
-func (n *Node) catchUp(ctx context.Context) {
-	n.beliefs.Lock()
-	peer, found := n.peers.Freshest(n.now(), n.directory.Revision())
-	n.beliefs.Unlock()
-	if !found {
-		return
+func (n *Node) askPeer(ctx context.Context, call follow.Call) (int, time.Duration, error) {
+	answer, err := (&peerSource{n, call.Peer}).changes(ctx, n.revision(), call.Wait)
+	if err != nil {
+		return 0, 0, err
+	}
+	if answer.Listing != nil {
+		n.replace(answer.Listing, call.Peer.String(), answer.Age)
+		return 0, answer.Age, nil
+	}
+	if answer.Changes == nil {
+		return 0, 0, errEmptyAnswer
 	}
-	n.followPeer(ctx, peer.Control)
+	return n.apply(answer.Changes, call.Peer.String(), answer.Age), answer.Age, nil
 }
 
-// noteUpstream logs where changes come from when that changes.
-func (n *Node) noteUpstream(name string) {
-	if n.following == name {
+// noteSource logs where changes come from when that changes.
+func (n *Node) noteSource(call follow.Call) {
+	source := "store"
+	if call.Kind == follow.AskPeer {
+		source = call.Peer.String()
+	}
+	if n.source == source {
 		return
 	}
-	n.log.Info("following", "from", name, "before", n.following, "revision", n.revision())
-	n.following = name
+	n.log.Info("following", "from", source, "before", n.source, "revision", n.revision())
+	n.source = source
+}
+
+// noteContact logs and counts what became of the contact with the store or a peer.
+func (n *Node) noteContact(contact follow.Contact, call follow.Call, err error) {
+	switch {
+	case errors.Is(err, ErrHistoryLost):
+		n.log.Info("store history lost", "revision", n.revision())
+	case err != nil && call.Kind == follow.AskPeer:
+		n.log.Warn("peer lost", "peer", call.Peer, "revision", n.revision(), "error", err)
+	case err != nil:
+		n.metrics.storeFailures.Inc()
+		n.adapter.Source.Reconnect()
+	}
+	switch contact {
+	case follow.Lost:
+		n.lostAt = n.now()
+		n.changed.wake()
+		n.log.Warn("store lost", "revision", n.revision(), "call", call.Kind.String(), "error", err)
+	case follow.Regained:
+		n.log.Info("store regained", "revision", n.revision(), "after", (n.now() - n.lostAt).Round(time.Millisecond))
+	}
 }
 
 // replace takes over a listing that the store confirmed age ago, and logs what changed.
@@ -234,32 +219,6 @@
 	}
 }
 
-// contact is whether the store answers.
-type contact struct {
-	broken  bool
-	since   time.Duration
-	retries int
-}
-
-func (c *contact) lost(n *Node, err error) {
-	c.retries++
-	n.metrics.storeFailures.Inc()
-	if c.broken {
-		return
-	}
-	c.broken, c.since, c.retries = true, n.now(), 1
-	n.changed.wake()
-	n.log.Warn("store lost", "revision", n.revision(), "error", err)
-}
-
-func (c *contact) regained(n *Node) {
-	if !c.broken {
-		return
-	}
-	c.broken = false
-	n.log.Info("store regained", "revision", n.revision(), "after", (n.now() - c.since).Round(time.Millisecond), "retries", c.retries)
-}
-
 // pause waits or until ctx ends.
 func pause(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -52,10 +52,10 @@
 	// peerClient calls other balancers.
 	peerClient *http.Client
 
-	// contact, following and historyLost belong to the follower's goroutine.
-	contact     contact
-	following   string
-	historyLost bool
+	// source and lostAt belong to the follower's goroutine: whom it asks, and when
+	// the store was lost.
+	source string
+	lostAt time.Duration
 
 	// beliefs guards directory, peers and confirmedAt. It is taken before
 	// steering, which guards steerer and is all that a packet needs, and before
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -25,10 +25,6 @@
 )
 
 const (
-	// peerWait is how long a balancer waits for changes at another one.
-	peerWait = time.Second
-	// peerSlack is how much later than asked for the answer may come.
-	peerSlack = 300 * time.Millisecond
 	// maxPeerWait bounds what another balancer may ask for.
 	maxPeerWait = 10 * time.Second
 	// maxPeerAnswer bounds what is read of one answer, in bytes.
@@ -37,6 +33,8 @@
 	helloVersion = 1
 )
 
+var errEmptyAnswer = errors.New("the balancer's answer is empty")
+
 // peerAnswer is what one balancer tells another of its beliefs.
 type peerAnswer struct {
 	// Age is how long ago the store confirmed them.
@@ -265,11 +263,11 @@
 // the store may be silent, and it does not know the back ends that have left and
 // still serve flows.
 func (n *Node) learnFrom(ctx context.Context, control netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
 	defer cancel()
 	answer, err := (&peerSource{n, control}).list(ctx)
 	if err == nil && answer.Listing == nil {
-		err = errors.New("the answer has no listing")
+		err = errEmptyAnswer
 	}
 	if err != nil {
 		n.log.Warn("peer gave nothing", "peer", control, "error", err)
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,195 @@
+// Package follow decides whom a balancer asks for changes of the desired state, and
+// when: another balancer while there is one to follow, else the store; what to do
+// when a call fails or the store has lost its history. It is pure: Next says which
+// call to make, Done takes its outcome. The process and the emulator carry them out.
+package follow
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// listTimeout bounds one listing.
+	listTimeout = time.Second
+	// changesSlack is how much later than asked for the store's answer may come.
+	changesSlack = 500 * time.Millisecond
+	// peerWait is how long a balancer waits for changes at another one, and
+	// peerSlack how much later the answer may come.
+	peerWait  = time.Second
+	peerSlack = 300 * time.Millisecond
+	// firstRetry and lastRetry bound the pause after a failed call; it doubles.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 400 * time.Millisecond
+	// gatherTime is the pause after changes, so that those that come together are
+	// read together.
+	gatherTime = 150 * time.Millisecond
+	// storeWaitPart and peerAgePart divide the contact bound: how long the store
+	// is waited for, and how old what another balancer tells may be. Together with
+	// one more call they stay below the bounds of configuration and draining.
+	storeWaitPart = 4
+	peerAgePart   = 2.5
+)
+
+// Kind says what a call does.
+type Kind uint8
+
+// The kinds of calls.
+const (
+	// ListStore reads everything from the store.
+	ListStore Kind = iota
+	// WatchStore waits at the store for changes.
+	WatchStore
+	// AskPeer waits at another balancer for changes.
+	AskPeer
+	// Pause waits and asks nobody.
+	Pause
+)
+
+// String returns the kind's word in logs.
+func (k Kind) String() string {
+	return [...]string{"list store", "watch store", "ask peer", "pause"}[k]
+}
+
+// Call is what to do next.
+type Call struct {
+	Kind Kind
+	// Peer is who is asked by AskPeer.
+	Peer netip.AddrPort
+	// Wait is how long the other side may hold the answer back, or the pause.
+	Wait time.Duration
+	// Timeout is when the call has failed.
+	Timeout time.Duration
+}
+
+// State is what Next decides by.
+type State struct {
+	// Revision is up to where the beliefs are complete, 0 for nothing.
+	Revision uint64
+	// Upstream is the balancer to follow, Freshest one with a newer revision;
+	// invalid where there is none.
+	Upstream, Freshest netip.AddrPort
+}
+
+// Result is how a call ended.
+type Result uint8
+
+// The results of calls.
+const (
+	// Done means that the call was answered.
+	Done Result = iota
+	// HistoryLost means that the store knows no changes since the revision.
+	HistoryLost
+	// Failed means that there was no useful answer.
+	Failed
+)
+
+// Outcome is the result of a call with what decides on the next one.
+type Outcome struct {
+	Result Result
+	// Changes is how many changes the answer brought.
+	Changes int
+	// Age is how long ago the store confirmed what another balancer told.
+	Age time.Duration
+}
+
+// Contact tells what became of the contact with the store.
+type Contact uint8
+
+// The changes of contact.
+const (
+	// Same is no change.
+	Same Contact = iota
+	// Lost means that the store no longer answers.
+	Lost
+	// Regained means that it does again.
+	Regained
+)
+
+// Follower is the state between calls. It is not safe for concurrent use.
+type Follower struct {
+	contactBound time.Duration
+	// historyLost is set while the next call to the store must list.
+	historyLost bool
+	// storeTurn is set when a peer was of no use and the store is next.
+	storeTurn bool
+	// catchUp is set when the store failed and a peer may know more.
+	catchUp bool
+	pause   time.Duration
+	retry   time.Duration
+	broken  bool
+}
+
+// New returns a follower; contactBound is the platform's bound for being in touch.
+func New(contactBound time.Duration) *Follower {
+	return &Follower{contactBound: contactBound, retry: firstRetry}
+}
+
+// MaxPeerAge is how old beliefs of another balancer may be, for a contact bound.
+func MaxPeerAge(contactBound time.Duration) time.Duration {
+	return time.Duration(float64(contactBound) / peerAgePart)
+}
+
+// Next returns the call to make.
+func (f *Follower) Next(state State) Call {
+	if f.catchUp && state.Freshest.IsValid() {
+		f.catchUp = false
+		return Call{Kind: AskPeer, Peer: state.Freshest, Timeout: peerWait}
+	}
+	f.catchUp = false
+	if f.pause > 0 {
+		call := Call{Kind: Pause, Wait: f.pause}
+		f.pause = 0
+		return call
+	}
+	if state.Upstream.IsValid() && state.Revision > 0 && !f.storeTurn {
+		return Call{Kind: AskPeer, Peer: state.Upstream, Wait: peerWait, Timeout: peerWait + peerSlack}
+	}
+	f.storeTurn = false
+	if f.historyLost || state.Revision == 0 {
+		return Call{Kind: ListStore, Timeout: listTimeout}
+	}
+	wait := f.contactBound / storeWaitPart
+	return Call{Kind: WatchStore, Wait: wait, Timeout: wait + changesSlack}
+}
+
+// Done takes the outcome of a call and tells whether contact with the store changed.
+func (f *Follower) Done(call Call, outcome Outcome) Contact {
+	switch call.Kind {
+	case Pause:
+		return Same
+	case AskPeer:
+		f.storeTurn = outcome.Result != Done || outcome.Age > MaxPeerAge(f.contactBound)
+		return Same
+	}
+	switch outcome.Result {
+	case HistoryLost:
+		f.historyLost = true
+		return Same
+	case Failed:
+		return f.failed()
+	}
+	if call.Kind == ListStore {
+		f.historyLost = false
+	}
+	if outcome.Changes > 0 {
+		f.pause = gatherTime
+	}
+	f.retry = firstRetry
+	if f.broken {
+		f.broken = false
+		return Regained
+	}
+	return Same
+}
+
+func (f *Follower) failed() Contact {
+	f.catchUp = true
+	f.pause = f.retry
+	f.retry = min(2*f.retry, lastRetry)
+	if f.broken {
+		return Same
+	}
+	f.broken = true
+	return Lost
+}
