--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-
 )
 
 // TestTableIsWhole guards that each kind has a row, and that only answers that
--- a/internal/sim/backend.go
+++ b/internal/sim/backend.go
@@ -79,7 +79,7 @@
 	b.up = true
 	b.frozen = false
 	b.run++
-	b.started = b.world.now
+	b.started = b.world.Now
 	b.busy = 0
 	b.waiting = nil
 	b.flows = map[flow.Key]*backendFlow{}
@@ -106,11 +106,11 @@
 		if packet.Kind == balancer.Control {
 			return
 		}
-		f = &backendFlow{key: packet.Flow, began: w.now, answers: map[uint16]*body{}, blocks: map[*request]int{}}
+		f = &backendFlow{key: packet.Flow, began: w.Now, answers: map[uint16]*body{}, blocks: map[*request]int{}}
 		b.flows[packet.Flow] = f
 		w.truth.sawFlow(b, packet)
 	}
-	f.lastSeen = w.now
+	f.lastSeen = w.Now
 	if packet.Kind == balancer.Control {
 		b.acknowledged(f, packet)
 		return
@@ -138,7 +138,7 @@
 	case kindFeed:
 		f.feed = &feed{token: packet.Token}
 		b.reply(f, packet, reply)
-		b.world.after(feedInterval, func() { b.notify(f, f.feed, b.run) })
+		b.world.After(feedInterval, func() { b.notify(f, f.feed, b.run) })
 		return
 	case kindUpload:
 		if f.blocks[received.request] != received.part {
@@ -162,7 +162,7 @@
 			return
 		}
 	}
-	b.enqueue(job{packet, received, b.world.now})
+	b.enqueue(job{packet, received, b.world.Now})
 }
 
 func (b *backend) enqueue(j job) {
@@ -184,15 +184,15 @@
 
 func (b *backend) execute(j job) {
 	w := b.world
-	w.truth.queued(w.now - j.arrived)
+	w.truth.queued(w.Now - j.arrived)
 	b.busy++
-	length := w.between(serviceTimeLow, serviceTimeHigh)
-	if w.now-b.started < coldTime && b.started > 0 {
+	length := w.Between(serviceTimeLow, serviceTimeHigh)
+	if w.Now-b.started < coldTime && b.started > 0 {
 		length *= coldFactor
 	}
 	run := b.run
 	w.truth.ran(b, j.body.request)
-	w.after(length, func() {
+	w.After(length, func() {
 		if !b.up || b.run != run {
 			return
 		}
@@ -209,7 +209,7 @@
 	for len(b.waiting) > 0 && b.busy < b.slots {
 		j := b.waiting[0]
 		b.waiting = b.waiting[1:]
-		if b.world.now-j.arrived > j.body.request.deadline {
+		if b.world.Now-j.arrived > j.body.request.deadline {
 			b.shed(j)
 			continue
 		}
@@ -246,7 +246,7 @@
 	}
 	subscription.sequence++
 	b.sendNotification(f, subscription, subscription.sequence, 0, run)
-	b.world.after(feedInterval, func() { b.notify(f, subscription, run) })
+	b.world.After(feedInterval, func() { b.notify(f, subscription, run) })
 }
 
 // sendNotification sends one notification until it, or a newer one, is acknowledged.
@@ -267,7 +267,7 @@
 		}
 		b.world.network.spray(b.zone, b.world.attach(packet, body{sequence: sequence}))
 	}
-	b.world.after(acknowledgeTime<<attempt, func() { b.sendNotification(f, subscription, sequence, attempt+1, run) })
+	b.world.After(acknowledgeTime<<attempt, func() { b.sendNotification(f, subscription, sequence, attempt+1, run) })
 }
 
 // report sends the load to every balancer, late.
@@ -277,7 +277,7 @@
 		utilization = float64(b.address.Port()%2) * 50
 	}
 	for _, n := range b.world.nodes {
-		b.world.after(loadLag, func() {
+		b.world.After(loadLag, func() {
 			n.receive(&balancer.LoadReport{Backend: b.address, Utilization: utilization})
 		})
 	}
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -41,7 +41,7 @@
 	case from != "" && to != "":
 		base = deployment.ZoneDelay
 	}
-	return base + time.Duration(float64(base)*jitter*n.world.random.Float64())
+	return base + time.Duration(float64(base)*jitter*n.world.Random.Float64())
 }
 
 // cut tells whether no datagram passes between two zones.
@@ -51,16 +51,16 @@
 
 // send delivers once, twice, late or never.
 func (n *network) send(from, to string, deliver func()) {
-	if n.cut(from, to) || n.world.chance(n.profile.Loss) {
+	if n.cut(from, to) || n.world.Chance(n.profile.Loss) {
 		return
 	}
 	delay := n.delay(from, to)
-	if n.world.chance(n.profile.Reorder) {
-		delay += n.world.between(0, reorderDelay)
+	if n.world.Chance(n.profile.Reorder) {
+		delay += n.world.Between(0, reorderDelay)
 	}
-	n.world.after(delay, deliver)
-	if n.world.chance(n.profile.Duplicate) {
-		n.world.after(delay+n.world.between(0, reorderDelay), deliver)
+	n.world.After(delay, deliver)
+	if n.world.Chance(n.profile.Duplicate) {
+		n.world.After(delay+n.world.Between(0, reorderDelay), deliver)
 	}
 }
 
@@ -78,14 +78,14 @@
 	if len(targets) == 0 {
 		return
 	}
-	target := targets[n.world.random.IntN(len(targets))]
+	target := targets[n.world.Random.IntN(len(targets))]
 	n.send(from, target.zone, func() { target.receive(&balancer.Datagram{Packet: packet}) })
 }
 
 // fromCaller hands a caller's datagram to the fabric, and perhaps a late copy.
 func (n *network) fromCaller(packet *balancer.Packet) {
 	n.spray("", packet)
-	if packet.Kind == balancer.Request && n.world.chance(n.profile.LateCopy) {
-		n.world.after(n.world.between(lateLow, lateHigh), func() { n.spray("", packet) })
+	if packet.Kind == balancer.Request && n.world.Chance(n.profile.LateCopy) {
+		n.world.After(n.world.Between(lateLow, lateHigh), func() { n.spray("", packet) })
 	}
 }
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -59,8 +59,8 @@
 	n.incarnation++
 	n.up = true
 	n.frozen = false
-	n.started = n.world.now
-	n.reachableSince = n.world.now
+	n.started = n.world.Now
+	n.reachableSince = n.world.Now
 	n.revision = 0
 	config := balancer.Config{
 		Self: membership.Member{
@@ -78,7 +78,7 @@
 	n.core = balancer.New(config)
 	run := n.incarnation
 	n.listMachines()
-	n.world.after(n.world.between(0, balancer.TickInterval), func() { n.tick(run) })
+	n.world.After(n.world.Between(0, balancer.TickInterval), func() { n.tick(run) })
 	n.world.store.attach(n)
 }
 
@@ -96,7 +96,7 @@
 		}
 		return
 	}
-	n.world.after(balancer.TickInterval, func() { n.tick(run) })
+	n.world.After(balancer.TickInterval, func() { n.tick(run) })
 }
 
 // crash ends the process at once.
@@ -115,12 +115,12 @@
 func (n *node) freeze(length time.Duration) {
 	n.frozen = true
 	run := n.incarnation
-	n.world.after(length, func() {
+	n.world.After(length, func() {
 		if !n.up || run != n.incarnation {
 			return
 		}
 		n.frozen = false
-		n.reachableSince = n.world.now
+		n.reachableSince = n.world.Now
 		waiting := n.waiting
 		n.waiting = nil
 		for _, event := range waiting {
@@ -145,7 +145,7 @@
 // step hands an event to the core and performs the effects.
 func (n *node) step(event balancer.Event) {
 	var effects balancer.Effects
-	n.world.meter.measure(event, func() { n.core.Step(n.world.now-n.started, event, &effects) })
+	n.world.meter.measure(event, func() { n.core.Step(n.world.Now-n.started, event, &effects) })
 	for i := range effects.List {
 		n.perform(&effects.List[i])
 	}
@@ -183,9 +183,9 @@
 	message := effect.Message
 	size := wire.Measure(message) + balancer.DatagramOverhead
 	if message.Relay != nil {
-		n.relays.add(n.world.now, size)
+		n.relays.add(n.world.Now, size)
 	} else {
-		n.control.add(n.world.now, size)
+		n.control.add(n.world.Now, size)
 		n.world.record(traceControl, uint64(n.address.Port()), uint64(size))
 	}
 	to := n.world.nodeAt(effect.To)
@@ -246,8 +246,8 @@
 		n.differs = false
 	case !n.differs:
 		n.differs = true
-		n.differsSince = n.world.now
-	case n.world.now-n.differsSince >= machineLag:
+		n.differsSince = n.world.Now
+	case n.world.Now-n.differsSince >= machineLag:
 		n.shown = healthy
 		n.differs = false
 	}
--- a/internal/sim/observer.go
+++ b/internal/sim/observer.go
@@ -61,7 +61,7 @@
 }
 
 func (o *observer) newRequest(kind requestKind, repeatable bool, deadline time.Duration) *request {
-	r := &request{kind: kind, repeatable: repeatable, deadline: deadline, sent: o.world.now}
+	r := &request{kind: kind, repeatable: repeatable, deadline: deadline, sent: o.world.Now}
 	if kind != kindFeed {
 		o.requests = append(o.requests, r)
 	}
@@ -114,14 +114,14 @@
 		o.appliedTwice++
 	}
 	o.editSeen[id] = true
-	o.acceptedAt[snapshot.Revision] = o.world.now
+	o.acceptedAt[snapshot.Revision] = o.world.Now
 	for _, b := range o.world.backends {
 		configured := snapshot.Backends[settings.BackendIDOf(b.address)]
 		switch {
 		case configured == nil || !configured.Draining:
 			b.drainedAt = 0
 		case b.drainedAt == 0:
-			b.drainedAt = o.world.now
+			b.drainedAt = o.world.Now
 		}
 	}
 }
@@ -134,21 +134,21 @@
 	}
 	for r := n.revision + 1; r <= revision && n.revision > 0; r++ {
 		since := max(o.acceptedAt[r], n.reachableSince)
-		o.convergence = max(o.convergence, o.world.now-since)
+		o.convergence = max(o.convergence, o.world.Now-since)
 	}
 	n.revision = revision
 }
 
 // sample takes the measurements of one second.
 func (o *observer) sample() {
-	if o.world.now < warmUp {
+	if o.world.Now < warmUp {
 		return
 	}
 	var flows, slots []float64
 	for _, b := range o.world.backends[:o.world.options.Deployment.MainServers] {
 		busy := o.busySamples[b]
 		o.busySamples[b] = 0
-		if !b.up || b.frozen || b.drainedAt > 0 || o.world.now-b.started < 3*coldTime && b.started > 0 {
+		if !b.up || b.frozen || b.drainedAt > 0 || o.world.Now-b.started < 3*coldTime && b.started > 0 {
 			continue
 		}
 		// A back end of twice the weight is meant to carry twice the flows.
@@ -159,7 +159,7 @@
 	ratio := peakToMean(flows)
 	o.imbalance = append(o.imbalance, ratio)
 	o.slotImbalance = append(o.slotImbalance, peakToMean(slots))
-	if o.world.now > o.surgeFrom && o.world.now <= o.surgeUntil {
+	if o.world.Now > o.surgeFrom && o.world.Now <= o.surgeUntil {
 		o.surgeImbalance = append(o.surgeImbalance, ratio)
 	}
 }
@@ -174,7 +174,7 @@
 func (b *backend) activeFlows() int {
 	count := 0
 	for _, f := range b.flows {
-		if f.feed != nil || b.world.now-f.lastSeen < activeTime {
+		if f.feed != nil || b.world.Now-f.lastSeen < activeTime {
 			count++
 		}
 	}
@@ -200,11 +200,11 @@
 			continue
 		}
 		for r := n.revision + 1; r <= o.world.store.head().snapshot.Revision; r++ {
-			o.convergence = max(o.convergence, o.world.now-max(o.acceptedAt[r], n.reachableSince))
+			o.convergence = max(o.convergence, o.world.Now-max(o.acceptedAt[r], n.reachableSince))
 		}
 	}
 	for _, s := range o.feeds {
-		if s.established && o.world.now-s.lastUpdate > stallTime {
+		if s.established && o.world.Now-s.lastUpdate > stallTime {
 			s.broken = true
 		}
 	}
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -83,17 +83,17 @@
 	for _, n := range w.nodes {
 		n.start(true)
 	}
-	w.every(machineInterval, w.updateMachines)
-	w.every(time.Second, w.truth.sample)
-	w.every(windowSlot, w.truth.sampleSlots)
-	w.every(loadInterval, func() {
+	w.Every(machineInterval, w.updateMachines)
+	w.Every(time.Second, w.truth.sample)
+	w.Every(windowSlot, w.truth.sampleSlots)
+	w.Every(loadInterval, func() {
 		for _, b := range w.backends {
 			b.report()
 		}
 	})
-	w.at(trafficStart, w.startTraffic)
+	w.At(trafficStart, w.startTraffic)
 	w.options.Scenario.events(w)
-	w.runUntil(w.options.Scenario.Length)
+	w.RunUntil(w.options.Scenario.Length)
 	w.truth.finish()
 }
 
@@ -110,7 +110,7 @@
 func (w *world) openFeeds(count int, spread time.Duration) {
 	service := w.service(w.options.Deployment.Feed)
 	for range count {
-		w.after(w.between(0, spread), func() { w.startFeed(service) })
+		w.After(w.Between(0, spread), func() { w.startFeed(service) })
 	}
 }
 
@@ -120,9 +120,9 @@
 
 // arrivals calls begin at random times, rate times a second.
 func (w *world) arrivals(rate func() float64, begin func()) {
-	wait := -math.Log(1-w.random.Float64()) / rate()
-	w.after(time.Duration(wait*float64(time.Second)), func() {
-		if w.now > w.options.Scenario.Length-quietEnd {
+	wait := -math.Log(1-w.Random.Float64()) / rate()
+	w.After(time.Duration(wait*float64(time.Second)), func() {
+		if w.Now > w.options.Scenario.Length-quietEnd {
 			return
 		}
 		begin()
@@ -191,7 +191,7 @@
 			r.Deviating += n.core.Counters.Deviating.Load()
 		}
 	}
-	r.ControlBytesMean = float64(total) / float64(len(w.nodes)) / w.now.Seconds()
+	r.ControlBytesMean = float64(total) / float64(len(w.nodes)) / w.Now.Seconds()
 }
 
 // goodput is the number of requests sent during the surge and answered, over
--- a/internal/sim/scale.go
+++ b/internal/sim/scale.go
@@ -92,8 +92,8 @@
 	cell := deployment.BalancersPerZone * len(deployment.Zones)
 	cells := max(1, options.Nodes/cell)
 	scenario := Scenario{Name: "scale", Length: scaleLength, events: func(w *world) {
-		w.at(scaleEdit, func() { w.edit(0, w.changeWeight("2"), nil) })
-		w.at(scaleCrash, func() { w.crashNode(1) })
+		w.At(scaleEdit, func() { w.edit(0, w.changeWeight("2"), nil) })
+		w.At(scaleCrash, func() { w.crashNode(1) })
 	}}
 	before := heapBytes()
 	result := ScaleResult{Nodes: cells * cell, Cell: cell, Load: options.Load}
@@ -121,7 +121,8 @@
 
 // releaseModels drops what is not a node's state, so that memory is the cores'.
 func (w *world) releaseModels() {
-	w.queue, w.bodies, w.sessions = nil, nil, nil
+	w.DropEvents()
+	w.bodies, w.sessions = nil, nil
 	for _, b := range w.backends {
 		b.flows, b.waiting = nil, nil
 	}
@@ -132,13 +133,13 @@
 	var held, broken, requests, unknown int
 	for _, w := range worlds {
 		for _, n := range w.nodes {
-			means = append(means, float64(n.control.total)/w.now.Seconds())
+			means = append(means, float64(n.control.total)/w.Now.Seconds())
 			r.ControlBytesMax = max(r.ControlBytesMax, n.control.largest)
 			r.FlowsPerNode += float64(n.core.FlowCount())
 		}
-		r.NewFlowsPerNode += float64(len(w.truth.firstAt)) / w.now.Seconds()
-		r.ControlCPU += w.meter.control.Seconds() / w.now.Seconds()
-		r.DataCPU += w.meter.data.Seconds() / w.now.Seconds()
+		r.NewFlowsPerNode += float64(len(w.truth.firstAt)) / w.Now.Seconds()
+		r.ControlCPU += w.meter.control.Seconds() / w.Now.Seconds()
+		r.DataCPU += w.meter.data.Seconds() / w.Now.Seconds()
 		r.Convergence = max(r.Convergence, w.truth.convergence.Seconds())
 		held += int(w.truth.heldByCrashed)
 		broken += w.truth.brokenFlows()
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -65,27 +65,27 @@
 
 // markSurge bounds the seconds in which the surge's imbalance is measured.
 func (w *world) markSurge(length time.Duration) {
-	w.truth.surgeFrom, w.truth.surgeUntil = w.now, w.now+length
+	w.truth.surgeFrom, w.truth.surgeUntil = w.Now, w.Now+length
 }
 
 func newsSurge(w *world) {
 	const surgeLength = 10 * time.Second
-	w.at(eventTime, func() {
+	w.At(eventTime, func() {
 		w.markSurge(surgeLength)
 		w.openFeeds(int(float64(w.options.Deployment.Feeds)*w.options.Scale), surgeLength)
 		w.loadFactor = 2.3
 	})
-	w.at(eventTime+2*surgeLength, func() { w.loadFactor = 1 })
+	w.At(eventTime+2*surgeLength, func() { w.loadFactor = 1 })
 }
 
 const overloadLength = 15 * time.Second
 
 func overload(w *world) {
-	w.at(eventTime, func() {
+	w.At(eventTime, func() {
 		w.markSurge(overloadLength)
 		w.loadFactor = w.overloadFactor()
 	})
-	w.at(eventTime+overloadLength, func() { w.loadFactor = 1 })
+	w.At(eventTime+overloadLength, func() { w.loadFactor = 1 })
 }
 
 // overloadFactor is what the lookup rate is multiplied with to offer three times
@@ -103,7 +103,7 @@
 }
 
 func rollingRestart(w *world) {
-	w.at(eventTime, func() { w.restartFrom(0) })
+	w.At(eventTime, func() { w.restartFrom(0) })
 }
 
 func (w *world) restartFrom(index int) {
@@ -112,9 +112,9 @@
 	}
 	n := w.nodes[index]
 	n.leave(func() {
-		w.after(2*time.Second, func() {
+		w.After(2*time.Second, func() {
 			n.start(false)
-			w.after(5*time.Second, func() { w.restartFrom(index + 1) })
+			w.After(5*time.Second, func() { w.restartFrom(index + 1) })
 		})
 	})
 }
@@ -124,18 +124,18 @@
 	if !n.up {
 		return
 	}
-	w.truth.heldByCrashed += n.core.Status(w.now).Owned
+	w.truth.heldByCrashed += n.core.Status(w.Now).Owned
 	n.crash()
 }
 
 func balancerCrash(w *world) {
-	w.at(eventTime, func() { w.crashNode(1) })
+	w.At(eventTime, func() { w.crashNode(1) })
 }
 
 func twoCrashes(w *world) {
-	w.at(eventTime, func() { w.crashNode(1) })
-	w.at(eventTime+8*time.Second, func() { w.crashNode(4) })
-	w.at(eventTime+20*time.Second, func() { w.nodes[1].start(false) })
+	w.At(eventTime, func() { w.crashNode(1) })
+	w.At(eventTime+8*time.Second, func() { w.crashNode(4) })
+	w.At(eventTime+20*time.Second, func() { w.nodes[1].start(false) })
 }
 
 // setState returns an edit that drains a back end or lets it in.
@@ -147,9 +147,9 @@
 }
 
 func changeTogether(w *world) {
-	w.at(eventTime, func() { w.edit(0, w.setState(w.backends[9], "drain"), nil) })
-	w.at(eventTime+20*time.Second, func() {
-		w.nodes[2].leave(func() { w.after(2*time.Second, func() { w.nodes[2].start(false) }) })
+	w.At(eventTime, func() { w.edit(0, w.setState(w.backends[9], "drain"), nil) })
+	w.At(eventTime+20*time.Second, func() {
+		w.nodes[2].leave(func() { w.After(2*time.Second, func() { w.nodes[2].start(false) }) })
 		w.edit(0, w.setState(w.backends[3], "drain"), nil)
 		w.edit(100*time.Millisecond, w.setState(w.backends[9], "active"), func(result edit.Result) {
 			if result == edit.Conflict {
@@ -160,20 +160,20 @@
 }
 
 func backendDrain(w *world) {
-	w.at(eventTime, func() { w.edit(0, w.setState(w.backends[2], "drain"), nil) })
-	w.at(eventTime+5*time.Second, func() { w.edit(0, w.setState(w.backends[15], "drain"), nil) })
+	w.At(eventTime, func() { w.edit(0, w.setState(w.backends[2], "drain"), nil) })
+	w.At(eventTime+5*time.Second, func() { w.edit(0, w.setState(w.backends[15], "drain"), nil) })
 }
 
 func backendCrash(w *world) {
-	w.at(eventTime, func() { w.backends[5].crash() })
+	w.At(eventTime, func() { w.backends[5].crash() })
 }
 
 func coldStart(w *world) {
 	b := w.backends[4]
-	w.at(eventTime, func() { w.edit(0, w.setState(b, "drain"), nil) })
-	w.at(eventTime+5*time.Second, func() {
+	w.At(eventTime, func() { w.edit(0, w.setState(b, "drain"), nil) })
+	w.At(eventTime+5*time.Second, func() {
 		// It keeps its flows; only what it has warmed up is gone.
-		b.started = w.now
+		b.started = w.Now
 		w.edit(0, w.setState(b, "active"), nil)
 	})
 }
@@ -185,31 +185,31 @@
 }
 
 func storeOutage(w *world) {
-	w.at(eventTime, func() {
+	w.At(eventTime, func() {
 		w.edit(0, w.changeWeight("2"), func(edit.Result) { w.store.down = true })
 	})
-	w.at(eventTime+5*time.Second, func() { w.crashNode(3) })
-	w.at(eventTime+15*time.Second, func() { w.nodes[3].start(false) })
-	w.at(eventTime+45*time.Second, func() { w.store.recover() })
+	w.At(eventTime+5*time.Second, func() { w.crashNode(3) })
+	w.At(eventTime+15*time.Second, func() { w.nodes[3].start(false) })
+	w.At(eventTime+45*time.Second, func() { w.store.recover() })
 }
 
 func lostReplies(w *world) {
-	w.at(eventTime, func() { w.store.lose = 3 })
+	w.At(eventTime, func() { w.store.lose = 3 })
 	for i := range 4 {
-		w.at(eventTime+time.Duration(i)*3*time.Second, func() { w.edit(0, w.changeWeight([]string{"2", "3", "0.5", "1"}[i]), nil) })
+		w.At(eventTime+time.Duration(i)*3*time.Second, func() { w.edit(0, w.changeWeight([]string{"2", "3", "0.5", "1"}[i]), nil) })
 	}
 }
 
 func storeRestored(w *world) {
 	for i := range 4 {
-		w.at(eventTime+time.Duration(i)*time.Second, func() { w.edit(0, w.changeWeight([]string{"2", "3", "0.5", "1"}[i]), nil) })
+		w.At(eventTime+time.Duration(i)*time.Second, func() { w.edit(0, w.changeWeight([]string{"2", "3", "0.5", "1"}[i]), nil) })
 	}
-	w.at(eventTime+10*time.Second, func() { w.store.restore(2) })
+	w.At(eventTime+10*time.Second, func() { w.store.restore(2) })
 }
 
 func operatorRace(w *world) {
 	for i := range 6 {
-		w.at(eventTime+time.Duration(i)*2*time.Second, func() {
+		w.At(eventTime+time.Duration(i)*2*time.Second, func() {
 			w.edit(50*time.Millisecond, w.changeWeight([]string{"2", "3", "0.5"}[i%3]), nil)
 			w.edit(50*time.Millisecond, w.setState(w.backends[i], []string{"drain", "active"}[i%2]), nil)
 		})
@@ -217,23 +217,23 @@
 }
 
 func pausedOperator(w *world) {
-	w.at(eventTime, func() { w.edit(12*time.Second, w.changeWeight("9"), nil) })
+	w.At(eventTime, func() { w.edit(12*time.Second, w.changeWeight("9"), nil) })
 	for i := range 3 {
-		w.at(eventTime+time.Duration(2+i)*2*time.Second, func() { w.edit(0, w.setState(w.backends[i], "drain"), nil) })
+		w.At(eventTime+time.Duration(2+i)*2*time.Second, func() { w.edit(0, w.setState(w.backends[i], "drain"), nil) })
 	}
 }
 
 func zonePartition(w *world) {
 	const length = 20 * time.Second
-	w.at(eventTime, func() { w.network.cutZone = w.options.Deployment.Zones[1] })
-	w.at(eventTime+length, func() { w.heal() })
+	w.At(eventTime, func() { w.network.cutZone = w.options.Deployment.Zones[1] })
+	w.At(eventTime+length, func() { w.heal() })
 }
 
 // heal ends a partition.
 func (w *world) heal() {
 	for _, n := range w.nodes {
 		if n.zone == w.network.cutZone {
-			n.reachableSince = w.now
+			n.reachableSince = w.Now
 		}
 	}
 	w.network.cutZone = ""
@@ -242,15 +242,15 @@
 
 func freezeAndResume(w *world) {
 	const length = 6 * time.Second
-	w.at(eventTime, func() { w.nodes[0].freeze(length) })
-	w.at(eventTime+15*time.Second, func() { w.nodes[5].freeze(length) })
+	w.At(eventTime, func() { w.nodes[0].freeze(length) })
+	w.At(eventTime+15*time.Second, func() { w.nodes[5].freeze(length) })
 }
 
 func lateCopies(w *world) {
-	w.at(eventTime, func() { w.loadFactor = w.overloadFactor() })
-	w.at(eventTime+5*time.Second, func() { w.crashNode(2) })
-	w.at(eventTime+overloadLength, func() { w.loadFactor = 1 })
-	w.at(eventTime+30*time.Second, func() { w.nodes[2].start(false) })
+	w.At(eventTime, func() { w.loadFactor = w.overloadFactor() })
+	w.At(eventTime+5*time.Second, func() { w.crashNode(2) })
+	w.At(eventTime+overloadLength, func() { w.loadFactor = 1 })
+	w.At(eventTime+30*time.Second, func() { w.nodes[2].start(false) })
 }
 
 // FaultKind is one thing that can go wrong, or that operators do.
@@ -286,21 +286,21 @@
 func Scheduled(name string, length time.Duration, network NetworkProfile, faults []Fault) Scenario {
 	return Scenario{Name: name, Length: length, Network: network, events: func(w *world) {
 		for _, fault := range faults {
-			w.at(fault.At, func() { w.strike(fault) })
+			w.At(fault.At, func() { w.strike(fault) })
 		}
 	}}
 }
 
 // everything draws a schedule from the seed.
 func everything(w *world) {
-	for at := eventTime; at < 110*time.Second; at += w.between(2*time.Second, 9*time.Second) {
+	for at := eventTime; at < 110*time.Second; at += w.Between(2*time.Second, 9*time.Second) {
 		// The order of the draws is kept: found seeds are tests.
 		fault := Fault{At: at}
-		fault.Node = w.random.IntN(len(w.nodes))
-		fault.Backend = w.random.IntN(len(w.backends))
-		fault.Length = w.between(2*time.Second, 8*time.Second)
-		fault.Kind = FaultKind(w.random.IntN(int(FaultKinds)))
-		w.at(at, func() { w.strike(fault) })
+		fault.Node = w.Random.IntN(len(w.nodes))
+		fault.Backend = w.Random.IntN(len(w.backends))
+		fault.Length = w.Between(2*time.Second, 8*time.Second)
+		fault.Kind = FaultKind(w.Random.IntN(int(FaultKinds)))
+		w.At(at, func() { w.strike(fault) })
 	}
 }
 
@@ -321,17 +321,17 @@
 	case FaultUndrain:
 		w.edit(0, w.setState(b, "active"), nil)
 	case FaultEdit:
-		w.edit(w.between(0, length), w.changeWeight("3"), nil)
+		w.edit(w.Between(0, length), w.changeWeight("3"), nil)
 	case FaultLostReply:
 		w.store.lose++
 	case FaultStoreOutage:
 		w.store.down = true
-		w.after(length, w.store.recover)
+		w.After(length, w.store.recover)
 	case FaultPartition:
 		w.partitionFor(length)
 	case FaultOverload:
 		w.loadFactor = 2
-		w.after(length, func() { w.loadFactor = 1 })
+		w.After(length, func() { w.loadFactor = 1 })
 	case FaultLyingLoad:
 		w.lyingLoad = !w.lyingLoad
 	}
@@ -342,12 +342,12 @@
 		return
 	}
 	n.crash()
-	w.after(length, func() { n.start(false) })
+	w.After(length, func() { n.start(false) })
 }
 
 func (w *world) leaveAndStart(n *node, length time.Duration) {
 	if n.healthy() {
-		n.leave(func() { w.after(length, func() { n.start(false) }) })
+		n.leave(func() { w.After(length, func() { n.start(false) }) })
 	}
 }
 
@@ -361,6 +361,6 @@
 	if w.network.cutZone != "" {
 		return
 	}
-	w.network.cutZone = w.options.Deployment.Zones[w.random.IntN(len(w.options.Deployment.Zones))]
-	w.after(length, w.heal)
+	w.network.cutZone = w.options.Deployment.Zones[w.Random.IntN(len(w.options.Deployment.Zones))]
+	w.After(length, w.heal)
 }
--- a/internal/sim/session.go
+++ b/internal/sim/session.go
@@ -89,8 +89,8 @@
 	binary.BigEndian.PutUint32(address[:], 10<<24|w.nextCaller)
 	key := flow.Key{Caller: netip.AddrPortFrom(netip.AddrFrom4(address), 5683), Service: service.Address}
 	w.sessions[key] = s
-	w.truth.beganAt[key] = w.now
-	return exchange{world: w, key: key, messageID: uint16(w.random.Uint32())}
+	w.truth.beganAt[key] = w.Now
+	return exchange{world: w, key: key, messageID: uint16(w.Random.Uint32())}
 }
 
 // send opens a new exchange.
@@ -100,7 +100,7 @@
 	binary.BigEndian.PutUint32(e.token.Bytes[:], uint32(e.messageID))
 	e.open = true
 	e.body, e.continues, e.observe = b, continues, observe
-	e.started = e.world.now
+	e.started = e.world.Now
 	e.expired = expired
 	e.transmit(e.messageID, 0)
 }
@@ -111,7 +111,7 @@
 	}
 	w := e.world
 	if attempt > repetitions {
-		w.at(e.started+giveUpAfter, func() {
+		w.At(e.started+giveUpAfter, func() {
 			if e.open && e.messageID == messageID {
 				e.open = false
 				e.expired()
@@ -130,7 +130,7 @@
 	}
 	w.network.fromCaller(w.attach(packet, e.body))
 	wait := acknowledgeTime << attempt
-	w.after(wait+w.between(0, wait/2), func() { e.transmit(messageID, attempt+1) })
+	w.After(wait+w.Between(0, wait/2), func() { e.transmit(messageID, attempt+1) })
 }
 
 // matches closes the exchange when the packet answers it.
@@ -174,7 +174,7 @@
 
 func (s *feedSession) receive(packet *balancer.Packet, b body) {
 	if s.matches(packet) && b.result == resultNotRun {
-		s.world.after(time.Second, s.subscribe)
+		s.world.After(time.Second, s.subscribe)
 		return
 	}
 	if packet.Token != s.feedToken {
@@ -187,15 +187,15 @@
 		s.established = true
 		s.source = packet.Backend
 	}
-	if packet.Backend != s.source || s.world.now-s.lastUpdate > stallTime && s.lastUpdate > 0 {
+	if packet.Backend != s.source || s.world.Now-s.lastUpdate > stallTime && s.lastUpdate > 0 {
 		s.broken = true
 	}
-	s.lastUpdate = s.world.now
+	s.lastUpdate = s.world.Now
 }
 
 func (s *feedSession) refused(packet *balancer.Packet, kind errkind.Kind, retry time.Duration) {
 	if s.matches(packet) {
-		s.world.after(max(retry, time.Second), s.subscribe)
+		s.world.After(max(retry, time.Second), s.subscribe)
 	}
 }
 
@@ -208,7 +208,7 @@
 }
 
 func (w *world) startLookups(service *settings.Service) {
-	s := &lookupSession{service: service, left: 1 + w.random.IntN(lookupsPerFlow)}
+	s := &lookupSession{service: service, left: 1 + w.Random.IntN(lookupsPerFlow)}
 	s.exchange = w.openFlow(service, s)
 	s.next()
 }
@@ -220,7 +220,7 @@
 	s.left--
 	s.request = s.world.truth.newRequest(kindLookup, s.service.Repeatable, s.service.RequestDeadline)
 	parts := 1
-	if s.world.chance(longAnswerShare) {
+	if s.world.Chance(longAnswerShare) {
 		parts = longAnswerParts
 	}
 	s.send(body{request: s.request, parts: parts}, false, false, func() { s.end(outcomeTimeout) })
@@ -228,7 +228,7 @@
 
 func (s *lookupSession) end(how outcome) {
 	s.world.truth.ended(s.request, how)
-	s.world.after(lookupPause, s.next)
+	s.world.After(lookupPause, s.next)
 }
 
 func (s *lookupSession) receive(packet *balancer.Packet, b body) {
@@ -288,7 +288,7 @@
 	switch b.result {
 	case resultContinue:
 		s.block++
-		s.world.after(s.world.between(0, 200*time.Millisecond), s.sendBlock)
+		s.world.After(s.world.Between(0, 200*time.Millisecond), s.sendBlock)
 	case resultOK:
 		s.world.truth.ended(s.request, outcomeAnswered)
 	case resultNotRun:
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -58,11 +58,11 @@
 // the store is down.
 func (s *store) attach(n *node) {
 	run := n.incarnation
-	s.world.after(s.world.between(watchLow, watchHigh), func() {
+	s.world.After(s.world.Between(watchLow, watchHigh), func() {
 		switch {
 		case !n.up || run != n.incarnation:
 		case s.unreachable(n):
-			s.world.after(storeRetry, func() { s.attach(n) })
+			s.world.After(storeRetry, func() { s.attach(n) })
 		default:
 			n.apply(s.head().snapshot)
 		}
@@ -110,7 +110,7 @@
 // announce tells every balancer's watch, unless the store fails before.
 func (s *store) announce(snapshot *settings.Snapshot) {
 	for _, n := range s.world.nodes {
-		s.world.after(s.world.between(watchLow, watchHigh), func() {
+		s.world.After(s.world.Between(watchLow, watchHigh), func() {
 			if !s.unreachable(n) {
 				n.apply(snapshot)
 			}
@@ -159,15 +159,15 @@
 
 func (e *operatorEdit) load() {
 	w := e.world
-	w.after(w.between(storeLow, storeHigh), func() {
+	w.After(w.Between(storeLow, storeHigh), func() {
 		if w.store.down {
-			w.after(storeRetry, e.load)
+			w.After(storeRetry, e.load)
 			return
 		}
 		e.base = w.store.head().snapshot
 		e.tree = e.base.Tree.Clone()
 		e.mutate(e.tree)
-		w.after(e.pause, func() { e.do(e.machine.Start()) })
+		w.After(e.pause, func() { e.do(e.machine.Start()) })
 	})
 }
 
@@ -181,9 +181,9 @@
 	case edit.Done:
 		e.finish()
 	case edit.Commit, edit.PauseThenCommit:
-		w.after(wait+w.between(storeLow, storeHigh), func() { e.committed(w.store.commit(e.base.Revision, e.tree, e.id)) })
+		w.After(wait+w.Between(storeLow, storeHigh), func() { e.committed(w.store.commit(e.base.Revision, e.tree, e.id)) })
 	default:
-		w.after(wait+w.between(storeLow, storeHigh), func() { e.do(e.machine.Settled(w.store.settle(e.id))) })
+		w.After(wait+w.Between(storeLow, storeHigh), func() { e.do(e.machine.Settled(w.store.settle(e.id))) })
 	}
 }
 
@@ -204,7 +204,7 @@
 		for _, n := range w.machines {
 			if left > 0 && n.up && !n.frozen {
 				left--
-				w.after(w.between(storeLow, storeHigh), func() { n.apply(settings.Resolve(e.tree, e.base.Revision+1)) })
+				w.After(w.Between(storeLow, storeHigh), func() { n.apply(settings.Resolve(e.tree, e.base.Revision+1)) })
 			}
 		}
 	}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -5,17 +5,15 @@
 package sim
 
 import (
-	"container/heap"
 	"crypto/sha256"
 	"encoding/binary"
 	"hash"
-	"math/rand/v2"
 	"net/netip"
-	"time"
 
 	"gaugeyard/internal/balancer"
 	"gaugeyard/internal/flow"
 	"gaugeyard/internal/settings"
+	"gaugeyard/internal/virtual"
 )
 
 // Options select one run.
@@ -33,12 +31,9 @@
 
 // world is one run.
 type world struct {
-	options  Options
-	now      time.Duration
-	queue    eventQueue
-	sequence uint64
-	random   *rand.Rand
-	trace    hash.Hash
+	options Options
+	virtual.Clock
+	trace hash.Hash
 
 	nodes     []*node
 	backends  []*backend
@@ -60,81 +55,6 @@
 	meter *meter
 }
 
-// event is something that happens at a virtual time.
-type event struct {
-	at       time.Duration
-	sequence uint64
-	run      func()
-}
-
-type eventQueue []event
-
-// Len implements heap.Interface.
-func (q eventQueue) Len() int { return len(q) }
-
-// Less implements heap.Interface.
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].sequence < q[j].sequence
-}
-
-// Swap implements heap.Interface.
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(value any) { *q = append(*q, value.(event)) }
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*q = old[:len(old)-1]
-	return last
-}
-
-// after runs a function when delay has passed.
-func (w *world) after(delay time.Duration, run func()) {
-	w.sequence++
-	heap.Push(&w.queue, event{w.now + max(delay, 0), w.sequence, run})
-}
-
-// at runs a function at a time from the start of the run.
-func (w *world) at(when time.Duration, run func()) {
-	w.after(when-w.now, run)
-}
-
-// every runs a function now and then at each interval.
-func (w *world) every(interval time.Duration, run func()) {
-	run()
-	w.after(interval, func() { w.every(interval, run) })
-}
-
-// runUntil lets events happen until the time is reached.
-func (w *world) runUntil(end time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		next := heap.Pop(&w.queue).(event)
-		w.now = next.at
-		next.run()
-	}
-	w.now = end
-}
-
-// chance returns true with the probability.
-func (w *world) chance(probability float64) bool {
-	return probability > 0 && w.random.Float64() < probability
-}
-
-// between returns a random duration in [low, high).
-func (w *world) between(low, high time.Duration) time.Duration {
-	if high <= low {
-		return low
-	}
-	return low + time.Duration(w.random.Int64N(int64(high-low)))
-}
-
 // traceKind says what a line of the trace records.
 type traceKind uint64
 
@@ -148,23 +68,20 @@
 // record adds one line to the trace, whose hash identifies the run.
 func (w *world) record(kind traceKind, a, b uint64) {
 	var line [32]byte
-	binary.LittleEndian.PutUint64(line[0:], uint64(w.now))
+	binary.LittleEndian.PutUint64(line[0:], uint64(w.Now))
 	binary.LittleEndian.PutUint64(line[8:], uint64(kind))
 	binary.LittleEndian.PutUint64(line[16:], a)
 	binary.LittleEndian.PutUint64(line[24:], b)
 	w.trace.Write(line[:])
 }
 
-// seedStream is the second half of the generator's seed, fixed for all runs.
-const seedStream = 0x6761756765
-
 func newWorld(options Options) *world {
 	if options.Scale == 0 {
 		options.Scale = 1
 	}
 	w := &world{
 		options:    options,
-		random:     rand.New(rand.NewPCG(options.Seed, seedStream)),
+		Clock:      virtual.New(options.Seed),
 		trace:      sha256.New(),
 		byAddress:  map[netip.AddrPort]*backend{},
 		sessions:   map[flow.Key]session{},
