An emulator of the platform; opening packets that waited in a standstill are dropped

Change: internal/emulator (store with its faults, routers, servers, callers, observer that judges ROUTE, DRAIN, CONFIG, FLOW, UNASKED, RECOVER; mechanisms that can be turned off); the steerer notices a standstill by a missing pulse.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -160,6 +160,7 @@
 	group.Go(func() error { return n.sendHellos(ctx) })
 	group.Go(func() error { return n.receiveHellos(ctx) })
 	group.Go(func() error { return n.tick(ctx) })
+	group.Go(func() error { return n.pulse(ctx) })
 	group.Go(func() error {
 		defer cancel()
 		return n.awaitStop(ctx)
@@ -191,6 +192,22 @@
 	}
 }
 
+// pulse tells the steerer that the process runs, so that it notices when it did not.
+func (n *Node) pulse(ctx context.Context) error {
+	ticker := time.NewTicker(steering.PulseInterval)
+	defer ticker.Stop()
+	for {
+		n.steering.Lock()
+		n.steerer.Pulse(n.now())
+		n.steering.Unlock()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
 func (n *Node) letTimePass() {
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
--- /dev/null
+++ b/internal/emulator/node.go
@@ -0,0 +1,457 @@
+package emulator
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/follow"
+	"gaugeyard/internal/peers"
+	"gaugeyard/internal/steering"
+)
+
+const (
+	controlPort = 8166
+	// startTime is how long a process takes to start.
+	startTime = 40 * time.Millisecond
+	// restartTime is how long the platform takes to start an ended process again.
+	restartTime = 300 * time.Millisecond
+	// releaseTime is how long a stopping process goes on forwarding.
+	releaseTime = 1900 * time.Millisecond
+	// seedCount is how many addresses of others a process is given.
+	seedCount = 3
+)
+
+var (
+	errStore   = errors.New("the store does not answer")
+	errHistory = errors.New("the store's history is lost")
+)
+
+// datagram is a packet with what its receiver makes of it.
+type datagram struct {
+	steering.Packet
+	client *clientFlow
+	// request is the request that data belongs to, nil for none; part numbers it.
+	request *request
+	part    int
+	// reply is the server's sequence that the packet acknowledges.
+	reply uint32
+	// sent is when the client sent it; copies of an opening packet have their own.
+	sent time.Duration
+}
+
+// node is one balancer machine and the process on it.
+type node struct {
+	world   *world
+	zone    string
+	control netip.AddrPort
+
+	// run numbers the processes; 0 is none.
+	run     int
+	up      bool
+	frozen  bool
+	leaving bool
+	// cutFromStore and cutFromPeers hold while the machine is cut off.
+	cutFromStore, cutFromPeers bool
+	queue                      []*datagram
+	// disturbed is when the machine was last disturbed.
+	disturbed time.Duration
+
+	startedAt   time.Duration
+	directory   *directory.Directory
+	steerer     *steering.Steerer
+	peers       *peers.Table
+	follower    *follow.Follower
+	confirmedAt time.Duration
+	learned     bool
+	ready       bool
+	// polls are balancers that wait for changes here.
+	polls []func()
+	// newest is the newest version that a packet was handled by in this run.
+	newest uint64
+	held   []*datagram
+}
+
+// start begins a process that knows nothing.
+func (n *node) start() {
+	w := n.world
+	n.run++
+	n.up, n.leaving, n.ready, n.learned = true, false, false, false
+	n.startedAt, n.newest, n.confirmedAt = w.Now, 0, 0
+	n.polls, n.held, n.queue = nil, nil, nil
+	keep := flowLife + drainBound
+	if w.options.Without.Departed {
+		keep = -1
+	}
+	n.directory = directory.New(keep)
+	n.steerer = steering.New(steering.Config{
+		Zone: n.zone, FlowLife: flowLife, LapseGrace: drainBound / 2,
+		Mechanisms: steering.Mechanisms{
+			NoCopyMemory: w.options.Without.CopyMemory,
+			NoPins:       w.options.Without.Pins,
+			NoSuspicion:  w.options.Without.Suspicion,
+			NoLoad:       w.options.Without.Load,
+			NoStandstill: w.options.Without.Standstill,
+		},
+	})
+	n.peers = peers.New(peers.Introduction{Control: n.control, Zone: n.zone})
+	n.follower = follow.New(contactBound)
+	n.whileRunning(startTime, func() {
+		if !w.options.Without.Peers {
+			n.everyWhileRunning(peers.HelloInterval, n.sayHello)
+		}
+		n.everyWhileRunning(time.Second, n.tick)
+		n.everyWhileRunning(steering.PulseInterval, func() { n.steerer.Pulse(n.now()) })
+		n.step()
+	})
+}
+
+// whileRunning runs a function later if the same process is still there. One that
+// stands still does it when it goes on.
+func (n *node) whileRunning(delay time.Duration, do func()) {
+	run := n.run
+	var attempt func()
+	attempt = func() {
+		switch {
+		case n.run != run || !n.up:
+		case n.frozen:
+			n.world.After(50*time.Millisecond, attempt)
+		default:
+			do()
+		}
+	}
+	n.world.After(delay, attempt)
+}
+
+func (n *node) everyWhileRunning(interval time.Duration, do func()) {
+	do()
+	n.whileRunning(interval, func() { n.everyWhileRunning(interval, do) })
+}
+
+// now is the time of the process: since its start.
+func (n *node) now() time.Duration {
+	return n.world.Now - n.startedAt
+}
+
+func (n *node) tick() {
+	now := n.now()
+	if n.directory.Forget(now) {
+		n.setView()
+	}
+	n.steerer.Tick(now)
+	n.peers.Forget(now)
+}
+
+func (n *node) setView() {
+	n.steerer.SetView(n.directory.View())
+}
+
+// step makes the next call that the follower decides on.
+func (n *node) step() {
+	state := follow.State{Revision: n.directory.Revision()}
+	if peer, found := n.peers.Upstream(n.now(), follow.MaxPeerAge(contactBound)); found {
+		state.Upstream = peer.Control
+	}
+	if peer, found := n.peers.Freshest(n.now(), state.Revision); found {
+		state.Freshest = peer.Control
+	}
+	call := n.follower.Next(state)
+	if call.Kind == follow.Pause {
+		n.finish(call, call.Wait, follow.Outcome{})
+		return
+	}
+	answered := false
+	end := func(outcome follow.Outcome) {
+		if answered {
+			return
+		}
+		answered = true
+		n.finish(call, 0, outcome)
+	}
+	timeout := call.Timeout
+	if n.world.options.Without.Deadlines && call.Kind != follow.AskPeer {
+		timeout = hangTime
+	}
+	n.whileRunning(timeout, func() { end(follow.Outcome{Result: follow.Failed}) })
+	switch call.Kind {
+	case follow.ListStore:
+		n.world.store.list(n, func(listing *directory.Listing, err error) { n.whileRunning(0, func() { n.listed(listing, err, end) }) })
+	case follow.WatchStore:
+		n.world.store.watch(n, state.Revision, call.Wait, func(changes *directory.Changes, err error) {
+			n.whileRunning(0, func() { n.changed(changes, 0, err, end) })
+		})
+	case follow.AskPeer:
+		n.askPeer(call, end)
+	}
+}
+
+func (n *node) finish(call follow.Call, after time.Duration, outcome follow.Outcome) {
+	n.whileRunning(after, func() {
+		if n.follower.Done(call, outcome) == follow.Lost {
+			n.wakePolls()
+		}
+		n.step()
+	})
+}
+
+func (n *node) listed(listing *directory.Listing, err error, end func(follow.Outcome)) {
+	if err != nil {
+		end(follow.Outcome{Result: follow.Failed})
+		return
+	}
+	n.replace(listing, 0)
+	end(follow.Outcome{})
+}
+
+func (n *node) changed(changes *directory.Changes, age time.Duration, err error, end func(follow.Outcome)) {
+	switch {
+	case errors.Is(err, errHistory):
+		end(follow.Outcome{Result: follow.HistoryLost})
+	case err != nil:
+		end(follow.Outcome{Result: follow.Failed})
+	default:
+		end(follow.Outcome{Changes: n.apply(changes, age), Age: age})
+	}
+}
+
+func (n *node) replace(listing *directory.Listing, age time.Duration) {
+	if n.world.options.Without.Monotonic && listing.Revision < n.directory.Revision() {
+		n.directory = directory.New(flowLife)
+	}
+	if n.world.options.Without.Differences {
+		// The listing says nothing of what vanished.
+		n.apply(&directory.Changes{Revision: listing.Revision, Settings: listing.Settings, Records: listing.Records}, age)
+		return
+	}
+	n.directory.Replace(n.now(), listing)
+	n.believe(age)
+}
+
+func (n *node) apply(changes *directory.Changes, age time.Duration) int {
+	events := n.directory.Apply(n.now(), changes)
+	n.believe(age)
+	return len(events)
+}
+
+// believe lets packets be steered by what is known now and tells those that wait.
+func (n *node) believe(age time.Duration) {
+	n.confirmedAt = max(n.confirmedAt, n.now()-age)
+	if n.world.options.Without.Departed {
+		n.directory.Forget(n.now())
+	}
+	n.setView()
+	n.ready = n.directory.SettingsVersion() > 0
+	n.wakePolls()
+	held := n.held
+	n.held = nil
+	for _, d := range held {
+		n.handle(d)
+	}
+}
+
+func (n *node) wakePolls() {
+	polls := n.polls
+	n.polls = nil
+	for _, poll := range polls {
+		poll()
+	}
+}
+
+// askPeer waits at another balancer for changes.
+func (n *node) askPeer(call follow.Call, end func(follow.Outcome)) {
+	peer := n.world.nodeAt(call.Peer)
+	if peer == nil || n.cutFromPeers || peer.cutFromPeers {
+		return
+	}
+	after := n.directory.Revision()
+	n.world.After(n.world.delay(n.zone, peer.zone), func() {
+		peer.whileRunning(0, func() {
+			peer.whenChanged(after, call.Wait, func() { n.world.After(n.world.delay(n.zone, peer.zone), peer.answerFor(n, after, end)) })
+		})
+	})
+}
+
+// whenChanged runs reply once there is something newer, or the wait is over.
+func (n *node) whenChanged(after uint64, wait time.Duration, reply func()) {
+	if n.directory.Revision() > after {
+		reply()
+		return
+	}
+	replied := false
+	once := func() {
+		if !replied {
+			replied = true
+			reply()
+		}
+	}
+	n.polls = append(n.polls, once)
+	n.whileRunning(wait, once)
+}
+
+// answerFor collects what another balancer lacks and hands it over.
+func (n *node) answerFor(asker *node, after uint64, end func(follow.Outcome)) func() {
+	age := n.now() - n.confirmedAt
+	changes, known := n.directory.Since(after)
+	listing := n.directory.Listing()
+	return func() {
+		asker.whileRunning(0, func() {
+			if known {
+				asker.changed(changes, age, nil, end)
+				return
+			}
+			asker.replace(listing, age)
+			end(follow.Outcome{Age: age})
+		})
+	}
+}
+
+// sayHello tells other balancers that this one lives.
+func (n *node) sayHello() {
+	now := n.now()
+	for i := range min(seedCount, len(n.world.nodes)) {
+		seed := n.world.nodes[i]
+		n.peers.Introduce(now, peers.Introduction{Control: seed.control})
+	}
+	for _, target := range n.peers.Targets(now) {
+		n.helloTo(target)
+	}
+}
+
+func (n *node) helloTo(control netip.AddrPort) {
+	now := n.now()
+	hello := &peers.Hello{
+		Control: n.control, Zone: n.zone, Started: int64(n.startedAt) + 1, Leaving: n.leaving,
+		Revision: n.directory.Revision(), StoreAge: now - n.confirmedAt, Others: n.peers.Sample(now),
+	}
+	peer := n.world.nodeAt(control)
+	if peer == nil || n.cutFromPeers || peer.cutFromPeers {
+		return
+	}
+	n.world.send(n.zone, peer.zone, func() { peer.whileRunning(0, func() { peer.heardHello(hello) }) })
+}
+
+func (n *node) heardHello(hello *peers.Hello) {
+	if n.peers == nil {
+		return
+	}
+	if n.peers.Heard(n.now(), hello) {
+		n.helloTo(hello.Control)
+	}
+	if hello.Revision == 0 || n.learned {
+		return
+	}
+	n.learned = true
+	peer := n.world.nodeAt(hello.Control)
+	n.world.After(n.world.delay(n.zone, peer.zone), func() {
+		peer.whileRunning(0, func() {
+			listing, age := peer.directory.Listing(), peer.now()-peer.confirmedAt
+			n.world.After(n.world.delay(n.zone, peer.zone), func() { n.whileRunning(0, func() { n.replace(listing, age) }) })
+		})
+	})
+}
+
+// answersReady is what the routers' probe sees.
+func (n *node) answersReady() bool {
+	return n.up && !n.frozen && n.ready && !n.leaving
+}
+
+// receive takes a packet from a router.
+func (n *node) receive(d *datagram) {
+	switch {
+	case !n.up:
+	case n.frozen:
+		n.world.trace(d.client, "balancer %s stands still: kind %d attempt %d waits", n.control, d.Kind, d.Attempt)
+		n.queue = append(n.queue, d)
+	default:
+		n.handle(d)
+	}
+}
+
+// handle steers a packet.
+func (n *node) handle(d *datagram) {
+	packet := d.Packet
+	verdict := n.steerer.Steer(n.now(), &packet)
+	n.world.trace(d.client, "balancer %s: kind %d attempt %d tag %08x: action %d reason %v to %v", n.control, packet.Kind, packet.Attempt, uint32(packet.Tag), verdict.Action, verdict.Reason, verdictServer(&verdict))
+	switch verdict.Action {
+	case steering.Drop:
+		if !n.ready {
+			n.held = append(n.held, d)
+		}
+	case steering.Refuse:
+		n.world.truth.refused(n, d)
+		n.world.send(n.zone, "", func() { d.client.reset(nil) })
+	case steering.Forward:
+		backend := verdict.Backend
+		forwarded := *d
+		forwarded.Tag = backend.Tag
+		id := backend.ID
+		if n.world.options.Without.ServerNames {
+			id = 0
+		}
+		n.world.truth.forwarded(n, d, backend.ID)
+		n.world.send(n.zone, backend.Zone, func() { n.world.arriveAtServer(n, backend.Address, id, &forwarded) })
+	}
+}
+
+func verdictServer(verdict *steering.Verdict) string {
+	if verdict.Backend == nil {
+		return "nobody"
+	}
+	return idText(verdict.Backend.ID)
+}
+
+// stop is a planned stop: readiness falls, packets are forwarded until the routers
+// have let go.
+func (n *node) stop() {
+	n.disturb()
+	n.leaving = true
+	n.wakePolls()
+	if n.world.options.Without.Release {
+		n.kill(restartTime)
+		return
+	}
+	n.whileRunning(releaseTime, func() { n.kill(restartTime) })
+}
+
+// kill ends the process; another one starts after downtime.
+func (n *node) kill(downtime time.Duration) {
+	n.disturb()
+	n.up, n.frozen, n.queue = false, false, nil
+	run := n.run
+	n.world.After(downtime, func() {
+		if n.run == run {
+			n.disturb()
+			n.start()
+		}
+	})
+}
+
+// freeze lets the process stand still; what arrives waits.
+func (n *node) freeze(length time.Duration) {
+	n.disturb()
+	n.frozen = true
+	run := n.run
+	n.world.After(length, func() {
+		n.disturb()
+		if n.run != run || !n.up {
+			return
+		}
+		n.frozen = false
+		queue := n.queue
+		n.queue = nil
+		for _, d := range queue {
+			n.handle(d)
+		}
+	})
+}
+
+// disturb notes that the machine is being disturbed.
+func (n *node) disturb() {
+	n.disturbed = n.world.Now
+}
+
+// inTouch tells whether nothing has disturbed the machine for the contact bound.
+func (n *node) inTouch() bool {
+	return n.up && !n.frozen && !n.cutFromStore && n.world.Now-n.disturbed >= contactBound && n.world.store.stable()
+}
--- /dev/null
+++ b/internal/emulator/run.go
@@ -0,0 +1,111 @@
+package emulator
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Result is what one run measured. Its JSON names are stable.
+type Result struct {
+	Scenario string `json:"scenario"`
+	Seed     uint64 `json:"seed"`
+	Requests int    `json:"requests"`
+	// Share of requests answered within their aim, and at all.
+	InAim  float64 `json:"in_aim"`
+	Served float64 `json:"served"`
+	Failed int     `json:"failed"`
+	// Busiest is the largest number of requests begun at a feed server over the
+	// mean, of servers that were there all the time.
+	Busiest float64 `json:"busiest_over_mean"`
+	// SmallShare is the part of lookups that ran at the smaller group of "weights".
+	SmallShare float64 `json:"small_share"`
+	StoreCalls int     `json:"store_calls"`
+	Refusals   int     `json:"refusals"`
+	// Checks counts how often each rule had something to judge.
+	Checks     map[string]int `json:"checks"`
+	Violations []Violation    `json:"violations"`
+}
+
+// Broken returns the names of the broken rules, each once.
+func (r *Result) Broken() []string {
+	var rules []string
+	for _, violation := range r.Violations {
+		if !slices.Contains(rules, violation.Rule) {
+			rules = append(rules, violation.Rule)
+		}
+	}
+	slices.Sort(rules)
+	return rules
+}
+
+// Run carries out one run.
+func Run(options Options) Result {
+	w := newWorld(options)
+	w.build()
+	w.Every(probeInterval, func() {
+		for _, zone := range w.zones {
+			w.routers[zone].probe()
+		}
+	})
+	w.Every(heartbeat/4, w.store.expire)
+	w.At(trafficStart, func() {
+		w.startClients()
+		w.probeClients()
+	})
+	options.Scenario.events(w)
+	w.RunUntil(options.Scenario.length())
+	w.truth.finish()
+	return w.result()
+}
+
+func (w *world) result() Result {
+	result := Result{
+		Scenario: w.options.Scenario.Name, Seed: w.options.Seed, Requests: len(w.truth.requests),
+		StoreCalls: w.store.calls, Refusals: w.truth.refusals, Checks: w.truth.checks, Violations: w.truth.violations,
+	}
+	inAimCount, served := 0, 0
+	for _, r := range w.truth.requests {
+		switch r.outcome {
+		case inAim:
+			inAimCount++
+			served++
+		case late:
+			served++
+		case failed:
+			result.Failed++
+		}
+	}
+	result.InAim = float64(inAimCount) / float64(len(w.truth.requests))
+	result.Served = float64(served) / float64(len(w.truth.requests))
+	result.Busiest, result.SmallShare = w.balance()
+	return result
+}
+
+// balance measures how evenly feed servers were used, and what part of the lookups
+// after the change of weights went to the smaller group.
+func (w *world) balance() (busiest, smallShare float64) {
+	most, sum, count := 0, 0, 0
+	for _, s := range w.incarnations {
+		if s.service != serviceFeed || s.coldAt > 0 || s.crashed || s.draining || s.slow != 1 || s.hung {
+			continue
+		}
+		most = max(most, s.begun)
+		sum += s.begun
+		count++
+	}
+	if sum == 0 {
+		return math.NaN(), 0
+	}
+	total := w.truth.lookupsAt[serviceFeed] + w.truth.lookupsAt[serviceUpload]
+	return float64(most) * float64(count) / float64(sum), float64(w.truth.lookupsAt[serviceUpload]) / float64(max(1, total))
+}
+
+// balancerIP is the address of an added balancer.
+func balancerIP(zone, number int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, byte(zone + 1), 0, byte(number)})
+}
+
+// weightsSettled is when the weights of scenario "weights" are judged from.
+const weightsSettled = troubleStart + 5*time.Second
--- /dev/null
+++ b/internal/emulator/scenario.go
@@ -0,0 +1,323 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// defaultLength is how long a run takes, quietEnd the time before its end in
+	// which no request begins, so that each has an outcome.
+	defaultLength = 40 * time.Second
+	quietEnd      = 9 * time.Second
+	// trafficStart is when clients begin, troubleStart when scenarios do.
+	trafficStart = 3 * time.Second
+	troubleStart = 8 * time.Second
+)
+
+// Scenario is what happens in a run beyond the load.
+type Scenario struct {
+	Name, About string
+	events      func(*world)
+}
+
+func (s Scenario) length() time.Duration { return defaultLength }
+
+// Scenarios lists all scenarios.
+var Scenarios = []Scenario{
+	{"calm", "nothing happens", func(*world) {}},
+	{"rolling-restart", "every balancer is stopped as planned and starts again", (*world).rollingRestart},
+	{"add-balancers", "a balancer is added in each zone", (*world).addBalancers},
+	{"release", "every feed server is replaced, one after the other", (*world).release},
+	{"release-quiet", "servers leave without saying so; their entries go, they serve on", (*world).releaseQuiet},
+	{"restart-and-release", "balancers restart while servers are replaced", both((*world).rollingRestart, (*world).release)},
+	{"restart-and-release-quiet", "balancers restart while servers leave without saying so", both((*world).rollingRestart, (*world).releaseQuiet)},
+	{"config-storm", "a version every 300 ms; a route comes, goes and changes its service", (*world).configStorm},
+	{"weights", "a route is split 90 to 10 between two services", (*world).weights},
+	{"server-crash", "a third of the feed servers crash", func(w *world) { w.crashServers(false) }},
+	{"address-reuse", "servers crash and their addresses go to the other service", func(w *world) { w.crashServers(true) }},
+	{"servers-hang", "a third of the feed servers stand still", (*world).hangServers},
+	{"servers-slow", "a third of the feed servers are five times slower", (*world).slowServers},
+	{"balancer-kill", "a balancer of each zone is killed", (*world).killSome},
+	{"balancer-freeze", "a balancer of each zone stands still for three seconds", (*world).freezeSome},
+	{"kill-all", "every balancer is killed at once", (*world).killAll},
+	{"store-silent", "the store says nothing for six seconds while servers leave", duringFault(storeSilent)},
+	{"store-busy", "the store is not available for six seconds while servers leave", duringFault(storeBusy)},
+	{"store-reset", "the store breaks connections for six seconds", duringFault(storeReset)},
+	{"store-slow", "the store takes sixty times as long for six seconds", duringFault(storeSlow)},
+	{"store-lapse", "all entries lapse during an outage", (*world).storeLapse},
+	{"store-compact", "the store loses its history after changes that no watch heard of", (*world).storeCompact},
+	{"store-cut", "half of the balancers are cut off from the store, and the cut heals", (*world).storeCut},
+	{"start-in-outage", "balancers start while the store is silent", (*world).startInOutage},
+	{"lossy", "one datagram in twenty is lost while balancers come and go", (*world).lossy},
+	{"chaos", "a mix of all of this, drawn from the seed", (*world).chaos},
+}
+
+// Find returns the scenario with the name.
+func Find(name string) (Scenario, bool) {
+	at := slices.IndexFunc(Scenarios, func(s Scenario) bool { return s.Name == name })
+	if at < 0 {
+		return Scenario{}, false
+	}
+	return Scenarios[at], true
+}
+
+func both(first, second func(*world)) func(*world) {
+	return func(w *world) {
+		first(w)
+		second(w)
+	}
+}
+
+func (w *world) rollingRestart() {
+	for i, n := range w.nodes {
+		w.At(troubleStart+time.Duration(i)*1300*time.Millisecond, n.stop)
+	}
+}
+
+func (w *world) addBalancers() {
+	w.At(troubleStart, func() {
+		for i, zone := range w.zones {
+			w.addNode(zone, balancerIP(i, 100))
+		}
+	})
+}
+
+// feedIncarnations returns the feed servers that take flows now.
+func (w *world) feedIncarnations() []*server {
+	var list []*server
+	for _, s := range w.incarnations {
+		if s.service == serviceFeed && !s.crashed && !s.draining && !s.hung {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func (w *world) release()      { w.replaceServers(false) }
+func (w *world) releaseQuiet() { w.replaceServers(true) }
+
+func (w *world) replaceServers(quiet bool) {
+	w.At(troubleStart, func() {
+		for i, s := range w.feedIncarnations() {
+			w.After(time.Duration(i)*time.Second, func() {
+				w.addServer(s.service, s.zone)
+				w.After(500*time.Millisecond, func() { s.leave(quiet) })
+			})
+		}
+	})
+}
+
+func (w *world) configStorm() {
+	services := []string{serviceFeed, "", serviceUpload, serviceFeed, serviceUpload, ""}
+	for i := range 50 {
+		w.At(troubleStart+time.Duration(i)*300*time.Millisecond, func() {
+			w.operator.probe = services[(i/8)%len(services)]
+			w.operator.idle = 5 + i*7%40
+			w.operator.publish()
+		})
+	}
+}
+
+func (w *world) weights() {
+	w.At(troubleStart, func() {
+		w.operator.lookups = []group{{serviceFeed, 90}, {serviceUpload, 10}}
+		w.operator.publish()
+	})
+}
+
+// third picks a third of the feed servers.
+func (w *world) third() []*server {
+	list := w.feedIncarnations()
+	w.Random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:len(list)/3]
+}
+
+func (w *world) crashServers(reuse bool) {
+	w.At(troubleStart, func() {
+		for _, s := range w.third() {
+			s.crash(reuse)
+		}
+	})
+}
+
+func (w *world) hangServers() {
+	w.At(troubleStart, func() {
+		for _, s := range w.third() {
+			s.hung, s.disturbed = true, w.Now
+		}
+	})
+}
+
+func (w *world) slowServers() {
+	w.At(troubleStart, func() {
+		for _, s := range w.third() {
+			s.slow = 5
+		}
+	})
+}
+
+// oneInEachZone returns a balancer of each zone, drawn by chance.
+func (w *world) oneInEachZone() []*node {
+	var list []*node
+	for i := range w.zones {
+		list = append(list, w.nodes[i*w.options.BalancersPerZone+w.Random.IntN(w.options.BalancersPerZone)])
+	}
+	return list
+}
+
+func (w *world) killSome() {
+	w.At(troubleStart, func() {
+		for _, n := range w.oneInEachZone() {
+			n.kill(2 * time.Second)
+		}
+	})
+}
+
+func (w *world) freezeSome() {
+	w.At(troubleStart, func() {
+		for _, n := range w.oneInEachZone() {
+			n.freeze(3 * time.Second)
+		}
+	})
+}
+
+func (w *world) killAll() {
+	w.At(troubleStart, func() {
+		w.truth.allKilled = true
+		w.truth.backAt = w.Now + time.Second
+		for _, n := range w.nodes {
+			n.kill(time.Second)
+		}
+	})
+}
+
+// faultTime is how long the store's faults last.
+const faultTime = 6 * time.Second
+
+func duringFault(fault storeFault) func(*world) {
+	return func(w *world) {
+		w.At(troubleStart, func() { w.store.setFault(fault) })
+		w.At(troubleStart+faultTime, func() { w.store.setFault(storeSound) })
+		w.release()
+		w.At(troubleStart+faultTime+time.Second, func() {
+			w.operator.probe = serviceFeed
+			w.operator.publish()
+		})
+	}
+}
+
+func (w *world) storeLapse() {
+	w.At(troubleStart, func() { w.store.setFault(storeSilent) })
+	w.At(troubleStart+faultTime, func() {
+		w.store.lapse()
+		w.store.setFault(storeSound)
+	})
+}
+
+func (w *world) storeCompact() {
+	w.At(troubleStart, func() {
+		w.store.stalled = true
+		for _, s := range w.third() {
+			s.serveOn = serveLong
+			s.leave(true)
+		}
+		w.operator.probe = serviceFeed
+		w.operator.publish()
+	})
+	w.At(troubleStart+time.Second, w.store.compact)
+}
+
+func (w *world) storeCut() {
+	w.At(troubleStart, func() {
+		for i, n := range w.nodes {
+			if i%2 == 0 {
+				n.cut(8*time.Second, true)
+			}
+		}
+	})
+	w.release()
+	w.At(troubleStart+4*time.Second, func() {
+		w.operator.probe = serviceFeed
+		w.operator.publish()
+	})
+	w.At(troubleStart+9*time.Second, func() {
+		w.operator.probe = ""
+		w.operator.publish()
+	})
+}
+
+// cut partitions a machine from the store, and from other balancers too.
+func (n *node) cut(length time.Duration, peersToo bool) {
+	n.disturb()
+	n.cutFromStore, n.cutFromPeers = true, peersToo
+	n.world.After(length, func() {
+		n.disturb()
+		n.cutFromStore, n.cutFromPeers = false, false
+	})
+}
+
+func (w *world) startInOutage() {
+	w.At(troubleStart, func() { w.store.setFault(storeSilent) })
+	w.At(troubleStart+time.Second, func() {
+		for _, n := range w.oneInEachZone() {
+			n.kill(restartTime)
+		}
+	})
+	w.addBalancers()
+	w.At(troubleStart+10*time.Second, func() { w.store.setFault(storeSound) })
+}
+
+func (w *world) lossy() {
+	w.At(trafficStart, func() { w.loss = 0.05 })
+	w.rollingRestart()
+}
+
+// chaos draws troubles by the seed.
+func (w *world) chaos() {
+	w.loss = 0.005
+	troubles := []func(){
+		func() { w.nodes[w.Random.IntN(len(w.nodes))].stop() },
+		func() { w.nodes[w.Random.IntN(len(w.nodes))].kill(w.Between(300*time.Millisecond, 4*time.Second)) },
+		func() {
+			w.nodes[w.Random.IntN(len(w.nodes))].freeze(w.Between(300*time.Millisecond, 5*time.Second))
+		},
+		func() {
+			w.nodes[w.Random.IntN(len(w.nodes))].cut(w.Between(time.Second, 8*time.Second), w.Chance(0.5))
+		},
+		func() { w.randomServer().leave(w.Chance(0.3)) },
+		func() { w.randomServer().crash(w.Chance(0.5)) },
+		func() { s := w.randomServer(); s.hung, s.disturbed = true, w.Now },
+		func() { w.addServer(serviceFeed, w.zones[w.Random.IntN(len(w.zones))]) },
+		func() {
+			w.operator.probe = []string{"", serviceFeed, serviceUpload}[w.Random.IntN(3)]
+			w.operator.publish()
+		},
+		func() {
+			w.store.setFault(storeFault(1 + w.Random.IntN(4)))
+			w.After(w.Between(500*time.Millisecond, 6*time.Second), func() { w.store.setFault(storeSound) })
+		},
+		func() {
+			w.store.stalled = true
+			w.After(time.Second, w.store.compact)
+		},
+		func() {
+			w.store.setFault(storeSilent)
+			w.After(w.Between(4*time.Second, 6*time.Second), func() {
+				w.store.lapse()
+				w.store.setFault(storeSound)
+			})
+		},
+	}
+	for at := troubleStart; at < defaultLength-quietEnd; at += w.Between(200*time.Millisecond, 2*time.Second) {
+		w.At(at, troubles[w.Random.IntN(len(troubles))])
+	}
+}
+
+// randomServer draws a feed server; a new one takes its place.
+func (w *world) randomServer() *server {
+	list := w.feedIncarnations()
+	s := list[w.Random.IntN(len(list))]
+	w.addServer(s.service, s.zone)
+	return s
+}
--- /dev/null
+++ b/internal/emulator/store.go
@@ -0,0 +1,293 @@
+package emulator
+
+import (
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/settings"
+)
+
+// storeFault is how the platform's store misbehaves.
+type storeFault uint8
+
+const (
+	storeSound storeFault = iota
+	// storeSilent says nothing, and what waited for an answer hears none.
+	storeSilent
+	// storeBusy answers at once that it is not available.
+	storeBusy
+	// storeReset breaks connections.
+	storeReset
+	// storeSlow takes slowFactor times as long.
+	storeSlow
+)
+
+const (
+	// storeAnswer is how long the sound store takes.
+	storeAnswer = 4 * time.Millisecond
+	slowFactor  = 60
+	// heartbeat is how often servers write; entryLife is how long without.
+	heartbeat = 1200 * time.Millisecond
+	entryLife = 3 * heartbeat
+	// hangTime is how long a call without a deadline hangs.
+	hangTime = 25 * time.Second
+)
+
+// change is one write to the store.
+type change struct {
+	revision uint64
+	settings *directory.Settings
+	record   *directory.Record
+	gone     settings.BackendID
+	at       time.Duration
+}
+
+// watcher waits for changes.
+type watcher struct {
+	node  *node
+	after uint64
+	reply func(*directory.Changes, error)
+	done  bool
+}
+
+// store models the platform's store as far as the desired state goes.
+type store struct {
+	world    *world
+	fault    storeFault
+	revision uint64
+	settings *directory.Settings
+	entries  map[settings.BackendID]directory.Record
+	written  map[settings.BackendID]time.Duration
+	history  []change
+	// forgotten is up to where history is dropped.
+	forgotten uint64
+	// stalled watches hear nothing.
+	stalled  bool
+	watchers []*watcher
+	calls    int
+	// unstable is when the store was last disturbed.
+	unstable time.Duration
+}
+
+func newStore(w *world) *store {
+	return &store{
+		world:    w,
+		entries:  map[settings.BackendID]directory.Record{},
+		written:  map[settings.BackendID]time.Duration{},
+		unstable: -contactBound,
+	}
+}
+
+// stable tells whether the store has been sound for the contact bound.
+func (s *store) stable() bool {
+	return s.fault == storeSound && s.world.Now-s.unstable >= contactBound
+}
+
+// setFault changes the fault and notes the disturbance.
+func (s *store) setFault(fault storeFault) {
+	s.unstable = s.world.Now
+	s.fault = fault
+	if fault == storeReset || fault == storeBusy {
+		for _, watcher := range s.watchers {
+			s.answer(watcher, nil, errStore)
+		}
+	}
+	if fault == storeSilent {
+		s.watchers = nil
+	}
+}
+
+// publish accepts a configuration.
+func (s *store) publish(version uint64, tree settings.Tree) uint64 {
+	s.revision++
+	s.settings = &directory.Settings{Version: version, Revision: s.revision, Tree: tree}
+	s.note(change{revision: s.revision, settings: s.settings})
+	return s.revision
+}
+
+// write takes a server's entry. It changes only when more than the heartbeat does.
+func (s *store) write(backend directory.Backend) (taken bool) {
+	if s.fault == storeSilent || s.fault == storeBusy || s.fault == storeReset {
+		return false
+	}
+	s.written[backend.ID] = s.world.Now
+	known, live := s.entries[backend.ID]
+	if live && known.Backend.Draining == backend.Draining {
+		return true
+	}
+	s.revision++
+	record := directory.Record{Backend: backend, Revision: s.revision}
+	s.entries[backend.ID] = record
+	s.note(change{revision: s.revision, record: &record})
+	if backend.Draining {
+		s.world.truth.drained(backend.ID)
+	} else {
+		s.world.truth.returned(backend.ID)
+	}
+	return true
+}
+
+// remove drops an entry.
+func (s *store) remove(id settings.BackendID) {
+	if _, live := s.entries[id]; !live {
+		return
+	}
+	delete(s.entries, id)
+	s.revision++
+	s.note(change{revision: s.revision, gone: id})
+	s.world.truth.drained(id)
+}
+
+// expire drops entries that were not written for long.
+func (s *store) expire() {
+	if s.fault != storeSound {
+		return
+	}
+	for _, server := range s.world.incarnations {
+		if _, live := s.entries[server.id]; live && s.world.Now-s.written[server.id] > entryLife {
+			s.remove(server.id)
+		}
+	}
+}
+
+// lapse drops all entries, as when leases run out during an outage.
+func (s *store) lapse() {
+	for _, server := range s.world.incarnations {
+		s.remove(server.id)
+	}
+}
+
+// compact drops the history and cuts watches.
+func (s *store) compact() {
+	s.unstable = s.world.Now
+	s.stalled = false
+	s.forgotten = s.revision
+	s.history = nil
+	for _, watcher := range s.watchers {
+		s.answer(watcher, nil, errStore)
+	}
+}
+
+func (s *store) note(c change) {
+	c.at = s.world.Now
+	s.history = append(s.history, c)
+	if s.stalled {
+		return
+	}
+	for _, watcher := range s.watchers {
+		s.answerIfChanged(watcher)
+	}
+}
+
+// reachable tells whether a node's calls get to the store.
+func (s *store) reachable(n *node) bool {
+	return s.fault != storeSilent && !n.cutFromStore
+}
+
+// latency is how long the store takes to answer.
+func (s *store) latency() time.Duration {
+	if s.fault == storeSlow {
+		return slowFactor * storeAnswer
+	}
+	return storeAnswer
+}
+
+// list answers a listing, or not at all.
+func (s *store) list(n *node, reply func(*directory.Listing, error)) {
+	s.calls++
+	s.world.After(clientDelay, func() {
+		if !s.reachable(n) {
+			return
+		}
+		if s.fault == storeBusy || s.fault == storeReset {
+			s.world.After(clientDelay, func() { reply(nil, errStore) })
+			return
+		}
+		s.world.After(s.latency(), func() {
+			listing := &directory.Listing{Revision: s.revision, Settings: s.settings}
+			for _, server := range s.world.incarnations {
+				if record, live := s.entries[server.id]; live {
+					listing.Records = append(listing.Records, record)
+				}
+			}
+			s.deliver(n, func() { reply(listing, nil) })
+		})
+	})
+}
+
+// deliver carries an answer to a node, unless it is cut off meanwhile.
+func (s *store) deliver(n *node, run func()) {
+	s.world.After(clientDelay, func() {
+		if s.reachable(n) {
+			run()
+		}
+	})
+}
+
+// watch answers changes after a revision as soon as there are any, or none when
+// the wait is over.
+func (s *store) watch(n *node, after uint64, wait time.Duration, reply func(*directory.Changes, error)) {
+	s.calls++
+	s.world.After(clientDelay, func() {
+		if !s.reachable(n) {
+			return
+		}
+		watcher := &watcher{node: n, after: after, reply: reply}
+		switch {
+		case s.fault == storeBusy || s.fault == storeReset:
+			s.answer(watcher, nil, errStore)
+			return
+		case after < s.forgotten:
+			s.answer(watcher, nil, errHistory)
+			return
+		}
+		s.watchers = append(s.watchers, watcher)
+		if !s.stalled {
+			s.answerIfChanged(watcher)
+		}
+		s.world.After(wait, func() {
+			if s.stalled {
+				return
+			}
+			s.answer(watcher, s.since(watcher.after), nil)
+		})
+	})
+}
+
+func (s *store) answerIfChanged(w *watcher) {
+	if !w.done && s.revision > w.after {
+		s.answer(w, s.since(w.after), nil)
+	}
+}
+
+// answer ends a watch; a node that is cut off does not hear it.
+func (s *store) answer(w *watcher, changes *directory.Changes, err error) {
+	if w.done {
+		return
+	}
+	w.done = true
+	for i, other := range s.watchers {
+		if other == w {
+			s.watchers = append(s.watchers[:i:i], s.watchers[i+1:]...)
+			break
+		}
+	}
+	s.world.After(s.latency(), func() { s.deliver(w.node, func() { w.reply(changes, err) }) })
+}
+
+// since collects the changes after a revision.
+func (s *store) since(after uint64) *directory.Changes {
+	changes := &directory.Changes{Revision: s.revision}
+	for _, c := range s.history {
+		switch {
+		case c.revision <= after:
+		case c.settings != nil:
+			changes.Settings = c.settings
+		case c.record != nil:
+			changes.Records = append(changes.Records, *c.record)
+		default:
+			changes.Gone = append(changes.Gone, directory.Gone{ID: c.gone, Revision: c.revision})
+		}
+	}
+	return changes
+}
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -81,7 +81,7 @@
 	s.candidates = s.candidates[:0]
 	for _, member := range pool.Open {
 		state := s.stateOf(member)
-		if state != avoid && !state.suspected(now) {
+		if s.config.Mechanisms.NoSuspicion || state != avoid && !state.suspected(now) {
 			s.addCandidate(now, hash, member, state)
 		}
 	}
@@ -127,6 +127,9 @@
 	if now < member.ColdUntil {
 		cost *= coldCost
 	}
+	if s.config.Mechanisms.NoLoad {
+		cost = 0
+	}
 	s.candidates = append(s.candidates, candidate{
 		member: member,
 		state:  state,
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -18,8 +18,34 @@
 	// LapseGrace is how long after their entries vanished back ends may still take
 	// new flows, where a group has no other: entries also vanish by mistake.
 	LapseGrace time.Duration
+	// Mechanisms are turned off by experiments alone.
+	Mechanisms Mechanisms
 }
 
+// Mechanisms are the parts of the decisions that an experiment can turn off.
+type Mechanisms struct {
+	// NoCopyMemory places each copy of an opening packet anew.
+	NoCopyMemory bool
+	// NoPins follows the tag of each packet, also where the flow's back end is known.
+	NoPins bool
+	// NoSuspicion keeps sending new flows to silent back ends.
+	NoSuspicion bool
+	// NoLoad places by hash alone.
+	NoLoad bool
+	// NoStandstill forwards opening packets that waited while the process stood still.
+	NoStandstill bool
+}
+
+const (
+	// PulseInterval is how often a driver calls Pulse.
+	PulseInterval = 125 * time.Millisecond
+	// standstill is the time without a pulse after which the process has stood
+	// still. Routers need longer to send a caller's copies elsewhere.
+	standstill = 400 * time.Millisecond
+	// resumeTime is how long after a standstill what arrives has waited in a queue.
+	resumeTime = 50 * time.Millisecond
+)
+
 // Steerer is the decision core of one balancer. It is not safe for concurrent use.
 type Steerer struct {
 	config   Config
@@ -29,6 +55,9 @@
 	groups   map[groupKey]*groupState
 	// candidates is the memory of placement, reused.
 	candidates []candidate
+	// pulse is the last sign that the process runs, resumed the end of its last
+	// standstill.
+	pulse, resumed time.Duration
 }
 
 // New returns a steerer that knows no settings and no back ends.
@@ -39,9 +68,24 @@
 		flows:    map[flow.Key]*record{},
 		backends: map[settings.BackendID]*backendState{},
 		groups:   map[groupKey]*groupState{},
+		resumed:  -resumeTime,
 	}
 }
 
+// Pulse tells that the process runs. A driver calls it every PulseInterval.
+func (s *Steerer) Pulse(now time.Duration) {
+	s.noteStandstill(now)
+	s.pulse = now
+}
+
+// noteStandstill finds out whether the process stood still until now.
+func (s *Steerer) noteStandstill(now time.Duration) {
+	if now-s.pulse <= standstill {
+		return
+	}
+	s.pulse, s.resumed = now, now
+}
+
 // Reconfigure changes the configuration.
 func (s *Steerer) Reconfigure(config Config) { s.config = config }
 
@@ -60,6 +104,7 @@
 
 // Steer decides on one packet at now, a time that never goes back.
 func (s *Steerer) Steer(now time.Duration, packet *Packet) Verdict {
+	s.noteStandstill(now)
 	if packet.Kind == Open {
 		return s.steerOpen(now, packet)
 	}
@@ -73,13 +118,19 @@
 	if s.view.Settings == nil {
 		return drop(errkind.NotReady)
 	}
+	if now-s.resumed < resumeTime && !s.config.Mechanisms.NoStandstill {
+		// It waited while the process stood still. A copy has gone through another
+		// balancer meanwhile; a second back end must not answer now.
+		return drop(errkind.Stale)
+	}
 	service := s.view.Settings.ServiceAt(packet.Flow.Service)
 	if service == nil {
 		return refuse(errkind.NoRoute)
 	}
 	known := s.flows[packet.Flow]
 	switch {
-	case known == nil:
+	case known == nil || s.config.Mechanisms.NoCopyMemory:
+		s.forget(known)
 		return s.place(now, packet, service, nil)
 	case known.isOpenFor(now, packet):
 		return drop(errkind.Unexpected)
@@ -102,7 +153,7 @@
 // mayOpen tells whether the back end of a flow that is still opening may take it
 // by the newest view.
 func (s *Steerer) mayOpen(now time.Duration, service *settings.Service, known *record) bool {
-	if known.backend.suspected(now) {
+	if known.backend.suspected(now) && !s.config.Mechanisms.NoSuspicion {
 		return false
 	}
 	for i := range service.Groups {
@@ -186,7 +237,7 @@
 // a differing tag comes from a second back end that answered a late copy of the
 // opening packet; the flow rests on the first, which alone holds its data.
 func (s *Steerer) reconcile(known *record, packet *Packet) (repinned bool) {
-	if !known.opening {
+	if !known.opening && !s.config.Mechanisms.NoPins {
 		return true
 	}
 	member := s.tagged(packet)
