Tests and benchmarks of steering

Cause: its promises had none of their own. Change: copies in each order, silence, zones, shares, standstill, forgetting; a process that starts late is not taken for one that stood still.

--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -55,8 +55,9 @@
 	groups   map[groupKey]*groupState
 	// candidates is the memory of placement, reused.
 	candidates []candidate
-	// pulse is the last sign that the process runs, resumed the end of its last
-	// standstill.
+	// running is set by the first sign that the process runs, pulse is the last
+	// one, and resumed the end of its last standstill.
+	running        bool
 	pulse, resumed time.Duration
 }
 
@@ -80,10 +81,12 @@
 
 // noteStandstill finds out whether the process stood still until now.
 func (s *Steerer) noteStandstill(now time.Duration) {
-	if now-s.pulse <= standstill {
-		return
+	switch {
+	case !s.running:
+		s.running, s.pulse = true, now
+	case now-s.pulse > standstill:
+		s.pulse, s.resumed = now, now
 	}
-	s.pulse, s.resumed = now, now
 }
 
 // Reconfigure changes the configuration.
--- /dev/null
+++ b/internal/steering/steering_test.go
@@ -0,0 +1,463 @@
+package steering
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/flow"
+	"gaugeyard/internal/settings"
+)
+
+var (
+	feedAddress  = netip.MustParseAddrPort("198.18.0.1:443")
+	splitAddress = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// fleet is a directory with a steerer that follows it.
+type fleet struct {
+	*testing.T
+	directory *directory.Directory
+	steerer   *Steerer
+	revision  uint64
+	now       time.Duration
+}
+
+// newFleet has feed servers 1 to 4 in zone a, 5 and 6 in zone b, and upload servers
+// 11 and 12 in zone a; one route leads to the feed, another is split 3 to 1.
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{T: t, directory: directory.New(time.Minute), now: time.Second}
+	f.steerer = New(Config{Zone: "a", FlowLife: time.Minute, LapseGrace: 1500 * time.Millisecond})
+	tree := settings.Tree{"": settings.Values{}}
+	f.route(tree, "feed", feedAddress, map[string]string{"feed": "1"})
+	f.route(tree, "split", splitAddress, map[string]string{"feed": "3", "upload": "1"})
+	f.revision = 1
+	f.directory.Replace(0, &directory.Listing{Revision: 1, Settings: &directory.Settings{Version: 1, Revision: 1, Tree: tree}})
+	for id := settings.BackendID(1); id <= 4; id++ {
+		f.announce(id, "feed", "a", false)
+	}
+	f.announce(5, "feed", "b", false)
+	f.announce(6, "feed", "b", false)
+	f.announce(11, "upload", "a", false)
+	f.announce(12, "upload", "a", false)
+	return f
+}
+
+func (f *fleet) route(tree settings.Tree, name settings.Path, address netip.AddrPort, groups map[string]string) {
+	f.Helper()
+	set := func(path settings.Path, key settings.Key, value string) {
+		if err := tree.Set(path, key, value); err != nil {
+			f.Fatal(err)
+		}
+	}
+	set(name, settings.KeyAddress, address.String())
+	tree[name.Child("any")] = settings.Values{}
+	for service, share := range groups {
+		set(name.Child("any").Child(service), settings.KeyDiscover, service)
+		set(name.Child("any").Child(service), settings.KeyShare, share)
+	}
+}
+
+func (f *fleet) announce(id settings.BackendID, group, zone string, draining bool) {
+	f.revision++
+	backend := directory.Backend{
+		ID: id, Group: group, Zone: zone, Slots: 2, Draining: draining,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80),
+	}
+	f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Records: []directory.Record{{Backend: backend, Revision: f.revision}}})
+	f.steerer.SetView(f.directory.View())
+}
+
+func (f *fleet) vanish(id settings.BackendID) {
+	f.revision++
+	f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Gone: []directory.Gone{{ID: id, Revision: f.revision}}})
+	f.steerer.SetView(f.directory.View())
+}
+
+// pass lets time pass in steps with pulses.
+func (f *fleet) pass(length time.Duration) {
+	for end := f.now + length; f.now < end; {
+		f.now = min(end, f.now+PulseInterval)
+		f.steerer.Pulse(f.now)
+	}
+}
+
+func key(caller int, service netip.AddrPort) flow.Key {
+	ip := netip.AddrFrom4([4]byte{100, 64, byte(caller >> 8), byte(caller)})
+	return flow.Key{Caller: netip.AddrPortFrom(ip, 4000), Service: service}
+}
+
+func (f *fleet) open(caller int, service netip.AddrPort, attempt uint32) Verdict {
+	f.steerer.Pulse(f.now)
+	return f.steerer.Steer(f.now, &Packet{Flow: key(caller, service), Kind: Open, Attempt: attempt, Sequence: uint32(caller) + 1})
+}
+
+func (f *fleet) established(caller int, service netip.AddrPort, tag directory.Tag, acknowledged uint32, payload int) Verdict {
+	return f.steerer.Steer(f.now, &Packet{
+		Flow: key(caller, service), Kind: Established, Tag: tag, Sequence: uint32(caller) + 2 + acknowledged, Acknowledged: acknowledged, Payload: payload,
+	})
+}
+
+// opened opens a flow and returns its back end.
+func (f *fleet) opened(caller int, service netip.AddrPort) *directory.Member {
+	f.Helper()
+	verdict := f.open(caller, service, 0)
+	if verdict.Action != Forward {
+		f.Fatalf("flow %d is not placed: %+v", caller, verdict)
+	}
+	f.established(caller, service, verdict.Backend.Tag, 1, 0)
+	return verdict.Backend
+}
+
+func TestNewFlowsStayInTheZoneAndAreEven(t *testing.T) {
+	f := newFleet(t)
+	counts := map[settings.BackendID]int{}
+	for caller := range 400 {
+		member := f.opened(caller, feedAddress)
+		f.established(caller, feedAddress, member.Tag, 1, 100)
+		counts[member.ID]++
+		f.established(caller, feedAddress, member.Tag, 2, 0)
+	}
+	for id := settings.BackendID(1); id <= 4; id++ {
+		if counts[id] < 95 || counts[id] > 105 {
+			t.Errorf("back end %d has %d of 400 flows", id, counts[id])
+		}
+	}
+	if counts[5]+counts[6] > 0 {
+		t.Errorf("%d flows left the zone", counts[5]+counts[6])
+	}
+}
+
+func TestFlowsLeaveTheZoneWhenItIsBusyOrEmpty(t *testing.T) {
+	t.Run("busy", func(t *testing.T) {
+		f := newFleet(t)
+		spilled := 0
+		for caller := range 60 {
+			verdict := f.open(caller, feedAddress, 0)
+			f.established(caller, feedAddress, verdict.Backend.Tag, 1, 100)
+			if verdict.Spilled {
+				spilled++
+			}
+		}
+		if spilled == 0 || spilled > 40 {
+			t.Errorf("%d of 60 flows with requests under way left the zone", spilled)
+		}
+	})
+	t.Run("empty", func(t *testing.T) {
+		f := newFleet(t)
+		for id := settings.BackendID(1); id <= 4; id++ {
+			f.vanish(id)
+		}
+		if verdict := f.open(1, feedAddress, 0); verdict.Action != Forward || verdict.Backend.Zone != "b" || !verdict.Spilled {
+			t.Errorf("verdict %+v", verdict)
+		}
+	})
+}
+
+func TestEstablishedPacketsFollowTheirTag(t *testing.T) {
+	f := newFleet(t)
+	for _, id := range []settings.BackendID{2, 5} {
+		verdict := f.established(int(id), feedAddress, directory.TagOf(id), 9, 10)
+		if verdict.Action != Forward || verdict.Backend.ID != id {
+			t.Errorf("back end %d: %+v", id, verdict)
+		}
+	}
+	f.announce(2, "feed", "a", true)
+	f.vanish(5)
+	for _, id := range []settings.BackendID{2, 5} {
+		verdict := f.established(int(id)+10, feedAddress, directory.TagOf(id), 9, 10)
+		if verdict.Action != Forward || verdict.Backend.ID != id {
+			t.Errorf("back end %d, which has left: %+v", id, verdict)
+		}
+	}
+	if verdict := f.established(30, feedAddress, 999, 9, 10); verdict.Action != Drop || verdict.Reason != errkind.UnknownTag {
+		t.Errorf("a tag that nobody has: %+v", verdict)
+	}
+}
+
+// TestAFlowStaysWhenItsRouteIsDropped: settings never move an open flow.
+func TestAFlowStaysWhenItsRouteIsDropped(t *testing.T) {
+	f := newFleet(t)
+	member := f.opened(1, feedAddress)
+	f.revision++
+	tree := settings.Tree{"": settings.Values{}}
+	f.route(tree, "split", splitAddress, map[string]string{"upload": "1"})
+	f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Settings: &directory.Settings{Version: 2, Revision: f.revision, Tree: tree}})
+	f.steerer.SetView(f.directory.View())
+	if verdict := f.established(1, feedAddress, member.Tag, 5, 10); verdict.Action != Forward || verdict.Backend.ID != member.ID {
+		t.Errorf("the open flow: %+v", verdict)
+	}
+	if verdict := f.open(2, feedAddress, 0); verdict.Action != Refuse || verdict.Reason != errkind.NoRoute {
+		t.Errorf("a new flow: %+v", verdict)
+	}
+	if verdict := f.open(3, splitAddress, 0); verdict.Backend.Group != "upload" {
+		t.Errorf("a new flow of the changed route: %+v", verdict)
+	}
+}
+
+// TestCopiesOfAnOpeningPacket arrive in every order and after every change.
+func TestCopiesOfAnOpeningPacket(t *testing.T) {
+	t.Run("a copy goes where the first went", func(t *testing.T) {
+		f := newFleet(t)
+		for caller := range 50 {
+			first := f.open(caller, feedAddress, 0)
+			for other := range 3 {
+				f.opened(1000+4*caller+other, feedAddress)
+			}
+			if second := f.open(caller, feedAddress, 1); second.Backend != first.Backend {
+				t.Fatalf("copy of flow %d at %d, the first at %d", caller, second.Backend.ID, first.Backend.ID)
+			}
+		}
+	})
+	t.Run("a copy before its original", func(t *testing.T) {
+		f := newFleet(t)
+		second := f.open(1, feedAddress, 1)
+		if first := f.open(1, feedAddress, 0); first.Backend != second.Backend {
+			t.Errorf("%v and %v", first.Backend.ID, second.Backend.ID)
+		}
+	})
+	t.Run("a copy of a flow that is open", func(t *testing.T) {
+		f := newFleet(t)
+		f.opened(1, feedAddress)
+		if late := f.open(1, feedAddress, 1); late.Action != Drop {
+			t.Errorf("a second back end may answer: %+v", late)
+		}
+	})
+	t.Run("a copy of a flow that opened through another balancer", func(t *testing.T) {
+		f := newFleet(t)
+		f.established(1, feedAddress, directory.TagOf(3), 1, 0)
+		if late := f.open(1, feedAddress, 2); late.Action != Drop {
+			t.Errorf("a second back end may answer: %+v", late)
+		}
+	})
+	t.Run("a copy after its back end began to drain", func(t *testing.T) {
+		f := newFleet(t)
+		first := f.open(1, feedAddress, 0)
+		f.announce(first.Backend.ID, "feed", "a", true)
+		second := f.open(1, feedAddress, 1)
+		if second.Action != Forward || second.Backend.ID == first.Backend.ID || !second.Moved {
+			t.Errorf("%+v", second)
+		}
+	})
+	t.Run("a copy after a change of the route", func(t *testing.T) {
+		f := newFleet(t)
+		f.open(1, feedAddress, 0)
+		f.revision++
+		tree := settings.Tree{"": settings.Values{}}
+		f.route(tree, "feed", feedAddress, map[string]string{"upload": "1"})
+		f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Settings: &directory.Settings{Version: 2, Revision: f.revision, Tree: tree}})
+		f.steerer.SetView(f.directory.View())
+		if second := f.open(1, feedAddress, 1); second.Backend.Group != "upload" {
+			t.Errorf("%+v", second)
+		}
+	})
+	t.Run("the port is used again", func(t *testing.T) {
+		f := newFleet(t)
+		f.opened(1, feedAddress)
+		again := f.steerer.Steer(f.now, &Packet{Flow: key(1, feedAddress), Kind: Open, Sequence: 77777})
+		if again.Action != Forward || !again.Placed {
+			t.Errorf("%+v", again)
+		}
+	})
+}
+
+// TestASecondAnswerDoesNotMoveAnOpenFlow: a back end that answered a copy may change
+// the tag that the caller returns.
+func TestASecondAnswerDoesNotMoveAnOpenFlow(t *testing.T) {
+	f := newFleet(t)
+	member := f.opened(1, feedAddress)
+	other := directory.TagOf(member.ID%4 + 1)
+	verdict := f.established(1, feedAddress, other, 5, 10)
+	if verdict.Backend.ID != member.ID || !verdict.Repinned {
+		t.Errorf("%+v", verdict)
+	}
+}
+
+func TestSilentBackEndsLoseNewFlows(t *testing.T) {
+	f := newFleet(t)
+	silent := f.open(0, feedAddress, 0).Backend
+	waiting := []int{0}
+	var answered []*directory.Member
+	for caller := 1; caller < 8; caller++ {
+		verdict := f.open(caller, feedAddress, 0)
+		answered = append(answered, verdict.Backend)
+		if verdict.Backend == silent {
+			waiting = append(waiting, caller)
+		}
+	}
+	if len(waiting) < silentFlows {
+		t.Fatalf("flows %v wait", waiting)
+	}
+	for i, member := range answered {
+		if member != silent {
+			f.established(i+1, feedAddress, member.Tag, 1, 0)
+		}
+	}
+	f.pass(200 * time.Millisecond)
+	for _, caller := range waiting {
+		f.open(caller, feedAddress, 1)
+	}
+	for caller := range 40 {
+		if verdict := f.open(100+caller, feedAddress, 0); verdict.Backend == silent {
+			t.Fatalf("flow %d goes to a silent back end", caller)
+		}
+	}
+	if moved := f.open(waiting[0], feedAddress, 2); !moved.Moved || moved.Backend == silent {
+		t.Errorf("the waiting flow does not move: %+v", moved)
+	}
+	f.established(500, feedAddress, silent.Tag, 1, 0)
+	f.established(500, feedAddress, silent.Tag, 2, 0)
+	if f.steerer.stateOf(silent).suspected(f.now) {
+		t.Error("a back end that answers again is still suspected")
+	}
+}
+
+// TestOneLostPacketRaisesNoSuspicion.
+func TestOneLostPacketRaisesNoSuspicion(t *testing.T) {
+	f := newFleet(t)
+	first := f.open(1, feedAddress, 0)
+	f.pass(200 * time.Millisecond)
+	if second := f.open(1, feedAddress, 1); second.Backend != first.Backend {
+		t.Error("a flow moves after one copy")
+	}
+	if f.steerer.stateOf(first.Backend).suspected(f.now) {
+		t.Error("one copy raises suspicion")
+	}
+}
+
+// TestCopiesThatWaitedInAQueueAreNoEvidence.
+func TestCopiesThatWaitedInAQueueAreNoEvidence(t *testing.T) {
+	f := newFleet(t)
+	for caller := range 20 {
+		f.open(caller, feedAddress, 0)
+		f.open(caller, feedAddress, 1)
+	}
+	for _, state := range f.steerer.backends {
+		if state.suspected(f.now) {
+			t.Fatal("a back end had no time to answer and is suspected")
+		}
+	}
+}
+
+func TestOpeningPacketsThatWaitedInAStandstillAreDropped(t *testing.T) {
+	f := newFleet(t)
+	member := f.opened(1, feedAddress)
+	f.now += 3 * time.Second
+	stale := f.steerer.Steer(f.now, &Packet{Flow: key(2, feedAddress), Kind: Open})
+	if stale.Action != Drop || stale.Reason != errkind.Stale {
+		t.Errorf("an opening packet that waited: %+v", stale)
+	}
+	if verdict := f.established(1, feedAddress, member.Tag, 2, 5); verdict.Action != Forward {
+		t.Errorf("a packet of an open flow: %+v", verdict)
+	}
+	f.pass(200 * time.Millisecond)
+	if verdict := f.open(3, feedAddress, 0); verdict.Action != Forward {
+		t.Errorf("an opening packet after the standstill: %+v", verdict)
+	}
+}
+
+func TestGroupsGetTheirShares(t *testing.T) {
+	f := newFleet(t)
+	counts := map[string]int{}
+	for caller := range 400 {
+		counts[f.opened(caller, splitAddress).Group]++
+	}
+	if counts["feed"] < 295 || counts["feed"] > 305 {
+		t.Errorf("of 400 flows at 3 to 1: %v", counts)
+	}
+}
+
+// TestEntriesThatVanishByMistake: when every entry of a group vanishes, its back
+// ends are used for a moment longer, well within the drain bound.
+func TestEntriesThatVanishByMistake(t *testing.T) {
+	f := newFleet(t)
+	for id := settings.BackendID(1); id <= 6; id++ {
+		f.vanish(id)
+	}
+	if verdict := f.open(1, feedAddress, 0); verdict.Action != Forward {
+		t.Errorf("at once: %+v", verdict)
+	}
+	f.pass(2 * time.Second)
+	if verdict := f.open(2, feedAddress, 0); verdict.Action != Refuse || verdict.Reason != errkind.NoBackend {
+		t.Errorf("later: %+v", verdict)
+	}
+}
+
+func TestRecordsAreForgotten(t *testing.T) {
+	f := newFleet(t)
+	for caller := range 10 {
+		f.opened(caller, feedAddress)
+		f.open(100+caller, feedAddress, 0)
+	}
+	f.steerer.Steer(f.now, &Packet{Flow: key(0, feedAddress), Kind: Close, Tag: 1, Acknowledged: 2})
+	f.pass(5 * time.Second)
+	f.steerer.Tick(f.now)
+	if f.steerer.Flows() != 9 {
+		t.Errorf("%d flows, want the 9 that are open", f.steerer.Flows())
+	}
+	f.pass(2 * time.Minute)
+	f.steerer.Tick(f.now)
+	if f.steerer.Flows() != 0 {
+		t.Errorf("%d flows after their life", f.steerer.Flows())
+	}
+	for id, state := range f.steerer.backends {
+		if state.flows != 0 || state.opening != 0 || state.active != 0 {
+			t.Errorf("back end %d keeps counts: %+v", id, *state)
+		}
+	}
+}
+
+func TestNothingIsPlacedBeforeSettingsAreKnown(t *testing.T) {
+	steerer := New(Config{Zone: "a", FlowLife: time.Minute})
+	verdict := steerer.Steer(0, &Packet{Flow: key(1, feedAddress), Kind: Open})
+	if verdict.Action != Drop || verdict.Reason != errkind.NotReady {
+		t.Errorf("%+v", verdict)
+	}
+}
+
+// BenchmarkEstablished is the path of nearly all packets.
+func BenchmarkEstablished(b *testing.B) {
+	for _, flows := range []int{100, 20000} {
+		b.Run(fmt.Sprintf("flows=%d", flows), func(b *testing.B) {
+			f := newFleet(&testing.T{})
+			packets := make([]Packet, flows)
+			for i := range packets {
+				verdict := f.open(i, feedAddress, 0)
+				packets[i] = Packet{Flow: key(i, feedAddress), Kind: Established, Tag: verdict.Backend.Tag}
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				packet := &packets[i%flows]
+				packet.Sequence += 100
+				packet.Acknowledged += 100
+				packet.Payload = 100
+				f.steerer.Steer(f.now, packet)
+			}
+		})
+	}
+}
+
+// BenchmarkOpen places new flows among the back ends of a large group.
+func BenchmarkOpen(b *testing.B) {
+	for _, backends := range []int{18, 1000} {
+		b.Run(fmt.Sprintf("backends=%d", backends), func(b *testing.B) {
+			f := newFleet(&testing.T{})
+			for id := range backends {
+				f.announce(settings.BackendID(100+id), "feed", "a", false)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				f.steerer.Steer(f.now, &Packet{Flow: key(i, feedAddress), Kind: Open, Sequence: uint32(i)})
+				if i%10000 == 0 {
+					f.pass(10 * time.Second)
+					f.steerer.Tick(f.now)
+				}
+			}
+		})
+	}
+}
