Tests of peers and of the follower

Cause: their promises had none. Change: upstream, ages, no circles, restarts after a clock step, deadlines against the bounds.

--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,100 @@
+package follow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+const bound = 4 * time.Second
+
+var (
+	upstream = netip.MustParseAddrPort("10.0.0.1:80")
+	freshest = netip.MustParseAddrPort("10.0.0.2:80")
+)
+
+// step makes one call and gives it an outcome; it checks the kind.
+func step(t *testing.T, f *Follower, state State, want Kind, outcome Outcome) Contact {
+	t.Helper()
+	call := f.Next(state)
+	if call.Kind != want {
+		t.Fatalf("call %v, want %v", call.Kind, want)
+	}
+	return f.Done(call, outcome)
+}
+
+func TestAStartListsAndThenWatches(t *testing.T) {
+	f := New(bound)
+	step(t, f, State{Upstream: upstream}, ListStore, Outcome{})
+	step(t, f, State{Revision: 5}, WatchStore, Outcome{})
+	step(t, f, State{Revision: 5}, WatchStore, Outcome{Changes: 2})
+	step(t, f, State{Revision: 7}, Pause, Outcome{})
+	step(t, f, State{Revision: 7}, WatchStore, Outcome{})
+}
+
+func TestAnUpstreamIsFollowedWhileItIsOfUse(t *testing.T) {
+	f := New(bound)
+	state := State{Revision: 5, Upstream: upstream}
+	step(t, f, state, AskPeer, Outcome{Age: time.Second})
+	step(t, f, state, AskPeer, Outcome{Result: Failed})
+	step(t, f, state, WatchStore, Outcome{})
+	step(t, f, state, AskPeer, Outcome{Age: MaxPeerAge(bound) + 1})
+	step(t, f, state, WatchStore, Outcome{})
+}
+
+func TestLostHistoryIsListedAnew(t *testing.T) {
+	f := New(bound)
+	state := State{Revision: 5}
+	step(t, f, state, WatchStore, Outcome{Result: HistoryLost})
+	if contact := step(t, f, state, ListStore, Outcome{Result: Failed}); contact != Lost {
+		t.Errorf("contact %v", contact)
+	}
+	step(t, f, state, Pause, Outcome{})
+	if contact := step(t, f, state, ListStore, Outcome{}); contact != Regained {
+		t.Errorf("contact %v", contact)
+	}
+	step(t, f, state, WatchStore, Outcome{})
+}
+
+func TestAFailureIsToldOnceAndPeersAreAsked(t *testing.T) {
+	f := New(bound)
+	state := State{Revision: 5, Freshest: freshest}
+	if contact := step(t, f, state, WatchStore, Outcome{Result: Failed}); contact != Lost {
+		t.Errorf("contact %v", contact)
+	}
+	if call := f.Next(state); call.Kind != AskPeer || call.Peer != freshest || call.Wait != 0 {
+		t.Errorf("call %+v", call)
+	}
+	pauses := time.Duration(0)
+	for range 10 {
+		call := f.Next(State{Revision: 5})
+		if call.Kind != Pause || call.Wait > lastRetry {
+			t.Fatalf("call %+v", call)
+		}
+		pauses += call.Wait
+		f.Done(call, Outcome{})
+		if contact := step(t, f, State{Revision: 5}, WatchStore, Outcome{Result: Failed}); contact != Same {
+			t.Errorf("contact %v", contact)
+		}
+	}
+	if pauses < 5*lastRetry {
+		t.Errorf("ten retries within %v", pauses)
+	}
+}
+
+// TestADeadConnectionIsFoundOutInTime: from any moment at which the store answers
+// again, changes are known well within the bounds, also when a call or a peer hangs.
+func TestADeadConnectionIsFoundOutInTime(t *testing.T) {
+	f := New(bound)
+	watch := f.Next(State{Revision: 5})
+	f.Done(watch, Outcome{Result: Failed})
+	pause := f.Next(State{Revision: 5})
+	list := f.Next(State{})
+	if total := watch.Timeout + pause.Wait + list.Timeout; total > bound*3/4 {
+		t.Errorf("%v until changes are known", total)
+	}
+	ask := New(bound).Next(State{Revision: 5, Upstream: upstream})
+	if total := ask.Timeout + MaxPeerAge(bound); total > bound*3/4 {
+		t.Errorf("%v until a hanging peer is given up", total)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,141 @@
+package peers
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+const maxAge = 1600 * time.Millisecond
+
+func address(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), 8166)
+}
+
+// byRank returns count addresses in order of rank.
+func byRank(count int) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, count)
+	for number := range count {
+		at := 0
+		for at < len(addresses) && RankOf(addresses[at]) < RankOf(address(number)) {
+			at++
+		}
+		addresses = append(addresses[:at], append([]netip.AddrPort{address(number)}, addresses[at:]...)...)
+	}
+	return addresses
+}
+
+func hello(control netip.AddrPort, zone string, age time.Duration) *Hello {
+	return &Hello{Control: control, Zone: zone, Started: 1, Revision: 5, StoreAge: age}
+}
+
+func TestUpstreamIsTheLowestFreshRankOfTheZone(t *testing.T) {
+	ranked := byRank(4)
+	for _, test := range []struct {
+		name   string
+		change func(hellos []*Hello)
+		want   int
+	}{
+		{"all are well", func([]*Hello) {}, 0},
+		{"the lowest is stale", func(h []*Hello) { h[0].StoreAge = 2 * maxAge }, 1},
+		{"the lowest leaves", func(h []*Hello) { h[0].Leaving = true }, 1},
+		{"the lowest is elsewhere", func(h []*Hello) { h[0].Zone = "b" }, 1},
+		{"all lower ones are stale", func(h []*Hello) { h[0].StoreAge, h[1].StoreAge = 2*maxAge, 2*maxAge }, -1},
+	} {
+		table := New(Introduction{ranked[2], "a"})
+		hellos := []*Hello{hello(ranked[0], "a", 0), hello(ranked[1], "a", 0), hello(ranked[3], "a", 0)}
+		test.change(hellos)
+		for _, h := range hellos {
+			table.Heard(time.Second, h)
+		}
+		peer, found := table.Upstream(time.Second, maxAge)
+		if found != (test.want >= 0) || found && peer.Control != ranked[test.want] {
+			t.Errorf("%s: upstream %v %v", test.name, peer, found)
+		}
+	}
+}
+
+// TestAgesGrowWithSilence: a peer that says nothing more becomes too old to follow
+// before it counts as dead.
+func TestAgesGrowWithSilence(t *testing.T) {
+	ranked := byRank(2)
+	table := New(Introduction{ranked[1], "a"})
+	table.Heard(0, hello(ranked[0], "a", time.Second))
+	if _, found := table.Upstream(500*time.Millisecond, maxAge); !found {
+		t.Error("fresh beliefs are not followed")
+	}
+	if _, found := table.Upstream(700*time.Millisecond, maxAge); found {
+		t.Error("beliefs confirmed 1.7 s ago are followed")
+	}
+}
+
+// TestNobodyFollowsInACircle, however many balancers a zone has, and few ask the store.
+func TestNobodyFollowsInACircle(t *testing.T) {
+	const count = 400
+	roots := 0
+	for number := range count {
+		table := New(Introduction{address(number), "a"})
+		for other := range count {
+			table.Heard(0, hello(address(other), "a", 0))
+		}
+		peer, found := table.Upstream(0, maxAge)
+		switch {
+		case !found:
+			roots++
+		case peer.rank >= table.rank:
+			t.Fatalf("balancer %d follows a higher rank", number)
+		}
+		if len(table.peers) > maxZonePeers {
+			t.Fatalf("a table of %d peers", len(table.peers))
+		}
+	}
+	if roots == 0 || roots > 3*count/maxZonePeers {
+		t.Errorf("%d of %d balancers ask the store", roots, count)
+	}
+}
+
+func TestHeardTellsNewRunsFromOldOnes(t *testing.T) {
+	table := New(Introduction{address(1), "a"})
+	first := hello(address(2), "a", 0)
+	if !table.Heard(0, first) || table.Heard(0, first) {
+		t.Error("the first hello is new, the second is not")
+	}
+	// A restart after the time of day jumped back has an earlier start.
+	restarted := *first
+	restarted.Started = 0
+	if !table.Heard(0, &restarted) {
+		t.Error("a restart with an earlier time of day is not noticed")
+	}
+	if table.Heard(0, hello(address(1), "a", 0)) {
+		t.Error("a balancer hears itself")
+	}
+	if table.Heard(0, &Hello{}) {
+		t.Error("a hello without an address is taken")
+	}
+}
+
+func TestSilentPeersAreForgotten(t *testing.T) {
+	table := New(Introduction{address(1), "a"})
+	table.Heard(0, hello(address(2), "a", 0))
+	if len(table.Alive(2*aliveTime)) != 0 {
+		t.Error("a silent peer is alive")
+	}
+	table.Forget(forgetTime + time.Second)
+	if len(table.Targets(0)) != 0 {
+		t.Error("a silent peer is not forgotten")
+	}
+}
+
+func TestFreshestKnowsMore(t *testing.T) {
+	table := New(Introduction{address(1), "a"})
+	table.Heard(0, hello(address(2), "b", 0))
+	newer := hello(address(3), "a", 0)
+	newer.Revision = 9
+	table.Heard(0, newer)
+	if peer, found := table.Freshest(0, 5); !found || peer.Control != address(3) {
+		t.Errorf("freshest %v %v", peer, found)
+	}
+	if _, found := table.Freshest(0, 9); found {
+		t.Error("a peer that knows as much is asked")
+	}
+}
