A stand-in of the platform, process tests and a demo on real processes

Change: gaugeyard-standin platform (store over HTTP, servers, routers, clients, a judge); three scripts: edit, drain, lost history, stop and SIGHUP; a start in an outage; checked settings and a refused reload. Faults of the settings file name their fields.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -18,16 +18,16 @@
 	// Zone is where the machine is.
 	Zone string `yaml:"zone"`
 	// Data receives datagrams; Ready serves readiness and metrics.
-	Data  netip.AddrPort `yaml:"data"`
-	Ready netip.AddrPort `yaml:"ready"`
+	Data  netip.AddrPort `yaml:"-"`
+	Ready netip.AddrPort `yaml:"-"`
 	// Control serves other balancers.
-	Control netip.AddrPort `yaml:"control"`
+	Control netip.AddrPort `yaml:"-"`
 	// PeerPort is the port for datagrams between balancers, the same on all machines.
 	PeerPort uint16 `yaml:"peer_port"`
 	// Seeds are control addresses of other balancers, perhaps stale.
-	Seeds []netip.AddrPort `yaml:"seeds"`
+	Seeds []netip.AddrPort `yaml:"-"`
 	// Store is the address of the platform's store.
-	Store netip.AddrPort `yaml:"store"`
+	Store netip.AddrPort `yaml:"-"`
 	// Workers read the data socket.
 	Workers int `yaml:"workers"`
 	// ReadyPath is where readiness is asked for.
@@ -39,6 +39,16 @@
 	FirstStart bool `yaml:"first_start"`
 }
 
+// file is the document; addresses are text there, so that each fault names its field.
+type file struct {
+	Config  `yaml:",inline"`
+	Data    string   `yaml:"data"`
+	Ready   string   `yaml:"ready"`
+	Control string   `yaml:"control"`
+	Store   string   `yaml:"store"`
+	Seeds   []string `yaml:"seeds"`
+}
+
 // Bounds are the platform's promises to its users that the process must keep.
 type Bounds struct {
 	// Contact is how long a path must have stood for its ends to be in touch.
@@ -80,13 +90,35 @@
 
 // ParseConfig reads and checks a document.
 func ParseConfig(document []byte) (Config, []error) {
-	config := Config{Workers: 1, ReadyPath: "/ready", Bounds: defaultBounds}
-	if err := yaml.Unmarshal(document, &config); err != nil {
+	parsed := file{Config: Config{Workers: 1, ReadyPath: "/ready", Bounds: defaultBounds}}
+	if err := yaml.Unmarshal(document, &parsed); err != nil {
 		return Config{}, []error{fmt.Errorf("settings file: %w", err)}
 	}
-	return config, config.faults()
+	config := parsed.Config
+	var faults []error
+	for _, address := range []struct {
+		field, text string
+		value       *netip.AddrPort
+	}{
+		{"data", parsed.Data, &config.Data}, {"ready", parsed.Ready, &config.Ready},
+		{"control", parsed.Control, &config.Control}, {"store", parsed.Store, &config.Store},
+	} {
+		var err error
+		if *address.value, err = netip.ParseAddrPort(address.text); err != nil {
+			faults = append(faults, fmt.Errorf("settings file: %s: wants IP:port, has %q", address.field, address.text))
+		}
+	}
+	for i, text := range parsed.Seeds {
+		seed, err := netip.ParseAddrPort(text)
+		if err != nil {
+			faults = append(faults, fmt.Errorf("settings file: seeds[%d]: wants IP:port, has %q", i, text))
+		}
+		config.Seeds = append(config.Seeds, seed)
+	}
+	return config, append(faults, config.faults()...)
 }
 
+// faults returns what is wrong beyond the form.
 func (c *Config) faults() []error {
 	var faults []error
 	fault := func(field, format string, arguments ...any) {
@@ -95,14 +127,6 @@
 	if c.Zone == "" {
 		fault("zone", "is missing")
 	}
-	for _, address := range []struct {
-		field string
-		value netip.AddrPort
-	}{{"data", c.Data}, {"ready", c.Ready}, {"store", c.Store}, {"control", c.Control}} {
-		if !address.value.IsValid() {
-			fault(address.field, "wants IP:port")
-		}
-	}
 	if c.PeerPort == 0 {
 		fault("peer_port", "wants a port")
 	}
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -56,7 +56,6 @@
 type serverFlow struct {
 	sequence uint32
 	opened   bool
-	closing  bool
 	tag      uint32
 	parts    map[uint64]map[int]bool
 	ran      map[uint64]bool
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -23,13 +23,16 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"gaugeyard/internal/cli"
+	"gaugeyard/internal/edge"
 	"gaugeyard/internal/standin"
+	"gaugeyard/platform"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"gaugeyard":         func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) },
-		"gaugeyard-standin": func() { os.Exit(standin.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"gaugeyard-platform": func() { os.Exit(edge.Main(os.Args[1:], os.Stdout, os.Stderr, platform.Adapt)) },
+		"gaugeyard":          func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"gaugeyard-standin":  func() { os.Exit(standin.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
 }
 
@@ -57,6 +60,8 @@
 			"status": exitStatus,
 			"fetch":  fetch,
 			"post":   post,
+
+			"stdout_of": stdoutOf,
 		},
 	})
 }
@@ -153,9 +158,18 @@
 	return ""
 }
 
-var signals = map[string]syscall.Signal{"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+var signals = map[string]syscall.Signal{"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "HUP": syscall.SIGHUP}
+
+// stdoutOf runs "stdout_of NAME PATTERN": what the process printed must match.
+func stdoutOf(ts *testscript.TestScript, _ bool, args []string) {
+	printed, err := os.ReadFile(ts.MkAbs(args[0] + ".out"))
+	ts.Check(err)
+	if !regexp.MustCompile(args[1]).Match(printed) {
+		ts.Fatalf("%s printed no %q:\n%s", args[0], args[1], printed)
+	}
+}
 
-// signalProcess runs "signal NAME KILL|TERM|STOP|CONT".
+// signalProcess runs "signal NAME KILL|TERM|STOP|CONT|HUP".
 func signalProcess(ts *testscript.TestScript, _ bool, args []string) {
 	ts.Check(ts.Value("processes").(processes)[args[0]].Process.Signal(signals[args[1]]))
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -24,6 +24,7 @@
 	"gaugeyard/internal/standin/fabric"
 	"gaugeyard/internal/standin/machines"
 	"gaugeyard/internal/standin/store"
+	"gaugeyard/internal/standin/tagged"
 )
 
 type storeCommand struct {
@@ -68,7 +69,21 @@
 	Stall    time.Duration `arg:"--stall" default:"8s"`
 }
 
+type platformCommand struct {
+	Store     netip.AddrPort `arg:"--store,required" help:"IP:port of the store"`
+	Balancer  []string       `arg:"--balancer,separate,required" placeholder:"ZONE,DATA,READY"`
+	ReadyPath string         `arg:"--ready-path" default:"/readiness"`
+	Network   uint8          `arg:"--network" default:"50" help:"servers and clients use 127.NETWORK.x.y"`
+	Duration  time.Duration  `arg:"--duration" default:"10s"`
+	DrainAt   time.Duration  `arg:"--drain-at"`
+	EditAt    time.Duration  `arg:"--edit-at"`
+	CompactAt time.Duration  `arg:"--compact-at"`
+	SilentAt  time.Duration  `arg:"--silent-at"`
+	SilentFor time.Duration  `arg:"--silent-for" default:"3s"`
+}
+
 type arguments struct {
+	Platform *platformCommand `arg:"subcommand:platform" help:"play a platform whose packets carry tags, and judge"`
 	Store    *storeCommand    `arg:"subcommand:store"`
 	Machines *machinesCommand `arg:"subcommand:machines"`
 	Fabric   *fabricCommand   `arg:"subcommand:fabric"`
@@ -128,6 +143,9 @@
 	if parsed.Judge != nil {
 		return judge(parsed.Judge, out)
 	}
+	if parsed.Platform != nil {
+		return playPlatform(ctx, parsed.Platform, out)
+	}
 	c := parsed.Caller
 	report, err := caller.Run(ctx, caller.Config{Name: c.Name, Feed: c.Feed, Run: c.Run, Upload: c.Upload, Feeds: c.Feeds,
 		Runs: c.Runs, Uploads: c.Uploads, UploadBytes: c.Bytes, Duration: c.Duration, Pause: c.Pause, Stall: c.Stall})
@@ -137,6 +155,40 @@
 	return json.NewEncoder(out).Encode(report)
 }
 
+// errRuleBroken means that a play broke a rule.
+var errRuleBroken = errors.New("a rule is broken")
+
+// playPlatform plays until its time is over and prints the report as JSON.
+func playPlatform(ctx context.Context, c *platformCommand, out io.Writer) error {
+	config := tagged.Config{
+		Store: c.Store, ReadyPath: c.ReadyPath, Network: c.Network, Duration: c.Duration, DrainAt: c.DrainAt,
+		EditAt: c.EditAt, CompactAt: c.CompactAt, SilentAt: c.SilentAt, SilentFor: c.SilentFor,
+	}
+	for _, text := range c.Balancer {
+		parts := strings.Split(text, ",")
+		if len(parts) != 3 {
+			return fmt.Errorf("--balancer=%q: wants ZONE,DATA,READY", text)
+		}
+		data, dataErr := netip.ParseAddrPort(parts[1])
+		ready, readyErr := netip.ParseAddrPort(parts[2])
+		if err := errors.Join(dataErr, readyErr); err != nil {
+			return fmt.Errorf("--balancer=%q: %w", text, err)
+		}
+		config.Balancers = append(config.Balancers, tagged.Balancer{Zone: parts[0], Data: data, Ready: ready})
+	}
+	report, err := tagged.Play(ctx, config, out)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(out).Encode(report); err != nil {
+		return err
+	}
+	if len(report.Broken) > 0 {
+		return errRuleBroken
+	}
+	return nil
+}
+
 func runMachines(ctx context.Context, c *machinesCommand) error {
 	var list []discovery.Machine
 	for _, text := range c.Balancer {
--- /dev/null
+++ b/internal/standin/tagged/router.go
@@ -0,0 +1,135 @@
+package tagged
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
+	probeMisses   = 2
+)
+
+// Balancer is a balancer as the platform's routers know it.
+type Balancer struct {
+	Zone        string
+	Data, Ready netip.AddrPort
+}
+
+// router hands packets of clients to the balancers of their zone that are in.
+type router struct {
+	path   string
+	client *http.Client
+	socket *net.UDPConn
+
+	mutex   sync.Mutex
+	members []*routed
+}
+
+type routed struct {
+	Balancer
+	in     bool
+	misses int
+}
+
+func newRouter(balancers []Balancer, path string) (*router, error) {
+	socket, err := net.ListenUDP("udp4", nil)
+	if err != nil {
+		return nil, err
+	}
+	r := &router{path: path, client: &http.Client{Timeout: probeTimeout}, socket: socket}
+	for _, b := range balancers {
+		r.members = append(r.members, &routed{Balancer: b})
+	}
+	return r, nil
+}
+
+// run probes readiness until ctx ends.
+func (r *router) run(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		for _, m := range r.members {
+			go r.probe(m)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *router) probe(m *routed) {
+	reply, err := r.client.Get("http://" + m.Ready.String() + r.path)
+	ready := err == nil && reply.StatusCode == http.StatusOK
+	if err == nil {
+		reply.Body.Close()
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if ready {
+		m.in, m.misses = true, 0
+		return
+	}
+	m.misses++
+	m.in = m.in && m.misses < probeMisses
+}
+
+// ready counts the balancers that are in.
+func (r *router) ready() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	count := 0
+	for _, m := range r.members {
+		if m.in {
+			count++
+		}
+	}
+	return count
+}
+
+// send hands a client's packet to a balancer.
+func (r *router) send(zone string, p *packet) {
+	r.mutex.Lock()
+	members := r.eligible(zone)
+	r.mutex.Unlock()
+	if len(members) == 0 {
+		return
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(p.source.String() + p.destination.String()))
+	target := members[int(hash.Sum32())%len(members)]
+	// A balancer that is gone hears nothing.
+	_, _ = r.socket.WriteToUDPAddrPort(p.encode(), target.Data)
+}
+
+// eligible returns the zone's balancers that are in, or all when fewer than half
+// are, or those of other zones when none is.
+func (r *router) eligible(zone string) []*routed {
+	var all, in, elsewhere []*routed
+	for _, m := range r.members {
+		switch {
+		case m.Zone == zone && m.in:
+			in = append(in, m)
+			all = append(all, m)
+		case m.Zone == zone:
+			all = append(all, m)
+		case m.in:
+			elsewhere = append(elsewhere, m)
+		}
+	}
+	switch {
+	case len(in) == 0 && len(elsewhere) > 0:
+		return elsewhere
+	case 2*len(in) < len(all):
+		return all
+	}
+	return in
+}
--- /dev/null
+++ b/internal/standin/tagged/server.go
@@ -0,0 +1,165 @@
+package tagged
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+)
+
+// server is one server of the platform.
+type server struct {
+	id      uint64
+	service string
+	zone    string
+	address netip.AddrPort
+	// deliver is the port at which clients take packets.
+	deliver uint16
+	socket  *net.UDPConn
+	store   *Store
+	judge   *judge
+
+	mutex    sync.Mutex
+	draining bool
+	flows    map[netip.AddrPort]*serverFlow
+}
+
+type serverFlow struct {
+	sequence uint32
+	echo     uint32
+	answers  map[string]string
+}
+
+// entry is what a server writes to the store.
+type entry struct {
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Version  string `json:"version"`
+	Capacity int    `json:"capacity"`
+	State    string `json:"state"`
+	WarmUp   int    `json:"warmupLeftMs"`
+	Sequence int    `json:"callSeq"`
+}
+
+func newServer(id uint64, service, zone string, address netip.AddrPort, deliver uint16, store *Store, judge *judge) (*server, error) {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, err
+	}
+	s := &server{id: id, service: service, zone: zone, address: address, deliver: deliver, socket: socket, store: store, judge: judge,
+		flows: map[netip.AddrPort]*serverFlow{}}
+	s.announce("ready")
+	go s.serve()
+	return s, nil
+}
+
+func (s *server) key() string { return fmt.Sprintf("servers/i-%010x", s.id) }
+
+func (s *server) announce(state string) {
+	s.store.Put(s.key(), entry{Service: s.service, Address: s.address.String(), Zone: s.zone, Version: "v1", Capacity: 2, State: state})
+}
+
+// drain announces that the server leaves; it keeps its flows.
+func (s *server) drain() {
+	s.mutex.Lock()
+	s.draining = true
+	s.mutex.Unlock()
+	s.announce("draining")
+	s.judge.drained(s)
+}
+
+// leave drops the entry; the server serves on.
+func (s *server) leave() {
+	s.store.Remove(s.key())
+	s.judge.drained(s)
+}
+
+func (s *server) serve() {
+	buffer := make([]byte, 2048)
+	for {
+		length, _, err := s.socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		if length < idLength {
+			s.judge.broken("UNASKED", "a datagram without a server's identifier")
+			continue
+		}
+		if meant := binary.BigEndian.Uint64(buffer); meant != 0 && meant != s.id {
+			continue
+		}
+		datagram := buffer[idLength:length]
+		if !intact(datagram) {
+			s.judge.broken("UNASKED", "a packet arrives that its sender did not write that way")
+			continue
+		}
+		if p, err := decode(datagram); err == nil {
+			s.take(&p)
+		}
+	}
+}
+
+// take serves one packet.
+func (s *server) take(p *packet) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	f := s.flows[p.source]
+	switch {
+	case p.flags&flagSYN != 0:
+		s.judge.opens(s, p)
+		if f == nil {
+			f = &serverFlow{sequence: rand.Uint32(), answers: map[string]string{}}
+			s.flows[p.source] = f
+		}
+		f.echo = p.echo
+		s.send(p, f, flagSYN|flagACK, nil)
+	case f == nil:
+		s.judge.resets(s, p.source)
+		s.send(p, &serverFlow{echo: p.echo}, flagRST, nil)
+	case p.flags&flagFIN != 0:
+		delete(s.flows, p.source)
+	case len(p.data) > 0:
+		f.echo = p.echo
+		s.answer(p, f)
+	default:
+		f.echo = p.echo
+		s.judge.rests(s, p.source)
+	}
+}
+
+// answer runs a request once and sends its answer, again for each repetition.
+func (s *server) answer(p *packet, f *serverFlow) {
+	s.judge.rests(s, p.source)
+	request := string(p.data)
+	reply, ran := f.answers[request]
+	if !ran {
+		reply = s.service + " " + request
+		f.answers[request] = reply
+		s.judge.ran(s, request, p)
+	}
+	closing := ""
+	if s.draining {
+		closing = " closing"
+	}
+	time.Sleep(time.Millisecond)
+	s.send(p, f, flagACK, []byte(reply+closing))
+}
+
+func (s *server) send(p *packet, f *serverFlow, flags byte, data []byte) {
+	reply := packet{
+		source: p.destination, destination: p.source, echo: f.echo, flags: flags,
+		sequence: f.sequence, ack: p.sequence + uint32(len(p.data)), data: data,
+	}
+	// A client that is gone hears nothing.
+	_, _ = s.socket.WriteToUDPAddrPort(reply.encode(), netip.AddrPortFrom(p.source.Addr(), s.deliver))
+}
+
+// closes tells whether the answer says that the server closes the flow.
+func closes(reply string) (string, bool) {
+	return strings.CutSuffix(reply, " closing")
+}
