--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -135,7 +135,7 @@
 		n.changed.wake()
 		n.log.Warn("store lost", "revision", n.revision(), "call", call.Kind.String(), "error", err)
 	case follow.Regained:
-		n.log.Info("store regained", "revision", n.revision(), "after", (n.now() - n.lostAt).Round(time.Millisecond))
+		n.log.Info("store regained", "revision", n.revision(), "after_ms", (n.now()-n.lostAt).Milliseconds())
 	}
 }
 
@@ -209,12 +209,12 @@
 	for _, event := range events {
 		switch event.Transition {
 		case directory.SettingsApplied:
-			n.log.Info(string(event.Transition), "version", event.Version, "revision", event.Revision, "from", from, "age", age)
+			n.log.Info(string(event.Transition), "version", event.Version, "revision", event.Revision, "from", from, "age_ms", age.Milliseconds())
 		case directory.SettingsRefused:
 			n.log.Error(string(event.Transition), "version", event.Version, "revision", event.Revision, "from", from, "error", event.Err)
 		default:
 			n.log.Info(string(event.Transition), "backend", backendName(event.Backend.ID), "group", event.Backend.Group,
-				"address", event.Backend.Address, "zone", event.Backend.Zone, "revision", event.Revision, "from", from, "age", age)
+				"address", event.Backend.Address, "zone", event.Backend.Zone, "revision", event.Revision, "from", from, "age_ms", age.Milliseconds())
 		}
 	}
 }
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -251,7 +251,7 @@
 	reply := n.hello(now)
 	n.beliefs.Unlock()
 	if isNew {
-		n.log.Info("peer found", "peer", hello.Control, "zone", hello.Zone, "revision", hello.Revision, "age", hello.StoreAge)
+		n.log.Info("peer found", "peer", hello.Control, "zone", hello.Zone, "revision", hello.Revision, "age_ms", hello.StoreAge.Milliseconds())
 		n.sendHello(reply, hello.Control)
 	}
 	if hello.Revision > 0 && n.learning.CompareAndSwap(false, true) {
