--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -135,7 +135,7 @@
 		n.changed.wake()
 		n.log.Warn("store lost", "revision", n.revision(), "call", call.Kind.String(), "error", err)
 	case follow.Regained:
-		n.log.Info("store regained", "revision", n.revision(), "after_ms", (n.now()-n.lostAt).Milliseconds())
+		n.log.Info("store regained", "revision", n.revision(), "after_ms", (n.now() - n.lostAt).Milliseconds())
 	}
 }
 
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -184,6 +184,7 @@
 		}
 		targets := n.peers.Targets(now)
 		hello := n.hello(now)
+		n.shareLoad(now, hello)
 		n.beliefs.Unlock()
 		for _, target := range targets {
 			n.sendHello(hello, target)
@@ -211,15 +212,39 @@
 	}
 }
 
+// shareLoad puts the load of this balancer into a hello and takes over what others
+// said of theirs. The beliefs lock is held.
+func (n *Node) shareLoad(now time.Duration, hello *peers.Hello) {
+	n.steering.Lock()
+	defer n.steering.Unlock()
+	n.steerer.SetOthersLoad(n.peers.Loads(now))
+	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
+	for _, load := range n.steerer.RecentLoad(peers.MaxLoads) {
+		hello.Loads = append(hello.Loads, peers.Load{Backend: load.Backend, Units: uint32(load.Recent / peers.LoadUnit)})
+	}
+}
+
 func (n *Node) sendHello(hello *peers.Hello, control netip.AddrPort) {
-	datagram, err := msgpack.Marshal(hello)
+	datagram, err := encodeHello(hello)
 	if err != nil {
 		n.log.Error("cannot encode a hello", "error", err)
 		return
 	}
 	n.metrics.peerBytes.Add(len(datagram))
 	// A peer that cannot be reached is found out by its silence.
-	_, _ = n.peer.WriteToUDPAddrPort(append([]byte{helloVersion}, datagram...), n.peerAddress(control))
+	_, _ = n.peer.WriteToUDPAddrPort(datagram, n.peerAddress(control))
+}
+
+// encodeHello returns the datagram of a hello: a version, then msgpack with
+// structures as arrays.
+func encodeHello(hello *peers.Hello) ([]byte, error) {
+	var buffer bytes.Buffer
+	buffer.WriteByte(helloVersion)
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseCompactInts(true)
+	encoder.UseArrayEncodedStructs(true)
+	err := encoder.Encode(hello)
+	return buffer.Bytes(), err
 }
 
 // receiveHellos reads the hellos of other balancers.
@@ -250,6 +275,9 @@
 	isNew := n.peers.Heard(now, hello)
 	reply := n.hello(now)
 	n.beliefs.Unlock()
+	n.steering.Lock()
+	n.steerer.SetOthersDoubts(now, hello.Doubted)
+	n.steering.Unlock()
 	if isNew {
 		n.log.Info("peer found", "peer", hello.Control, "zone", hello.Zone, "revision", hello.Revision, "age_ms", hello.StoreAge.Milliseconds())
 		n.sendHello(reply, hello.Control)
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -313,6 +313,7 @@
 		seed := n.world.nodes[i]
 		n.peers.Introduce(now, peers.Introduction{Control: seed.control})
 	}
+	n.steerer.SetOthersLoad(n.peers.Loads(now))
 	for _, target := range n.peers.Targets(now) {
 		n.helloTo(target)
 	}
@@ -324,6 +325,10 @@
 		Control: n.control, Zone: n.zone, Started: int64(n.startedAt) + 1, Leaving: n.leaving,
 		Revision: n.directory.Revision(), StoreAge: now - n.confirmedAt, Others: n.peers.Sample(now),
 	}
+	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
+	for _, load := range n.steerer.RecentLoad(peers.MaxLoads) {
+		hello.Loads = append(hello.Loads, peers.Load{Backend: load.Backend, Units: uint32(load.Recent / peers.LoadUnit)})
+	}
 	peer := n.world.nodeAt(control)
 	if peer == nil || n.cutFromPeers || peer.cutFromPeers {
 		return
@@ -335,6 +340,7 @@
 	if n.peers == nil {
 		return
 	}
+	n.steerer.SetOthersDoubts(n.now(), hello.Doubted)
 	if n.peers.Heard(n.now(), hello) {
 		n.helloTo(hello.Control)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"gaugeyard/internal/settings"
 )
 
 const (
@@ -31,6 +33,16 @@
 	maxOtherPeers = 8
 	// sampleSize is how many other peers a hello names.
 	sampleSize = 4
+	// othersPerRound is how many peers of other zones get a hello in each round.
+	othersPerRound = 2
+	// loadLife is how long what a peer says of its load counts.
+	loadLife = 4 * time.Second
+	// MaxLoads is how many back ends a hello gives the load of.
+	MaxLoads = 32
+	// MaxDoubted is how many doubted back ends a hello names.
+	MaxDoubted = 16
+	// LoadUnit is what one unit of a Load stands for, in requests.
+	LoadUnit = 1.0 / 16
 )
 
 // Rank orders balancers; a lower one is followed by a higher one.
@@ -57,8 +69,17 @@
 	StoreAge time.Duration
 	// Others are more balancers.
 	Others []Introduction
-	// Reply asks for a hello in return.
-	Reply bool
+	// Loads are of the back ends that the sender uses most.
+	Loads []Load
+	// Doubted are back ends that the sender found silent.
+	Doubted []settings.BackendID
+}
+
+// Load is how much work a balancer gave to a back end lately.
+type Load struct {
+	Backend settings.BackendID
+	// Units counts requests begun lately, decaying, in LoadUnit.
+	Units uint32
 }
 
 // Introduction names another balancer.
@@ -165,7 +186,7 @@
 }
 
 // Targets returns where the hellos of this round go: all peers of the zone, and
-// one elsewhere in turn.
+// some elsewhere in turn.
 func (t *Table) Targets(now time.Duration) []netip.AddrPort {
 	t.round++
 	var targets []netip.AddrPort
@@ -179,12 +200,26 @@
 	}
 	slices.SortFunc(targets, netip.AddrPort.Compare)
 	slices.SortFunc(others, netip.AddrPort.Compare)
-	if len(others) > 0 {
-		targets = append(targets, others[t.round%len(others)])
+	for i := range min(othersPerRound, len(others)) {
+		targets = append(targets, others[(t.round*othersPerRound+i)%len(others)])
 	}
 	return targets
 }
 
+// Loads sums what peers said lately of their work at each back end, in requests.
+func (t *Table) Loads(now time.Duration) map[settings.BackendID]float64 {
+	loads := map[settings.BackendID]float64{}
+	for _, peer := range t.peers {
+		if !peer.everHeard || now-peer.heard > loadLife {
+			continue
+		}
+		for _, load := range peer.Hello.Loads {
+			loads[load.Backend] += float64(load.Units) * LoadUnit
+		}
+	}
+	return loads
+}
+
 // Sample returns some live peers to introduce to others, in turn.
 func (t *Table) Sample(now time.Duration) []Introduction {
 	alive := t.Alive(now)
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -14,29 +14,49 @@
 	// it doubles each time the suspicion is renewed, up to maxSuspectTime.
 	suspectTime    = 2 * time.Second
 	maxSuspectTime = 8 * time.Second
+	// answerTime is how long a back end may take to answer an opening packet before
+	// new flows avoid it; a sound one takes a few milliseconds.
+	answerTime = 60 * time.Millisecond
+	// doubtTime is how long new flows avoid it at first, unless it shows a sign of
+	// life; it doubles up to maxSuspectTime.
+	doubtTime = 500 * time.Millisecond
+	// freshProgress is how recent a sign of life outweighs another balancer's doubt.
+	freshProgress = 250 * time.Millisecond
 	// latencyGain is the weight of a new sample in the mean latency.
 	latencyGain = 0.2
 	// recentDecay is what of the recent requests is left after a second.
 	recentDecay = 0.7
+	// latencySamples is how many answers make a mean latency that counts.
+	latencySamples = 5
 )
 
 // backendState is what this balancer observes of one back end through the flows
 // that pass here.
 type backendState struct {
-	// flows are the flows at the back end that the caller has not closed.
+	// flows are those at the back end that the caller has not closed.
 	flows int
 	// opening are those of flows that have not opened yet.
 	opening int
 	// active are the requests under way.
 	active int
-	// recent is the number of requests begun lately, decaying.
-	recent float64
+	// recent is the number of requests begun lately through this balancer, decaying;
+	// others is what other balancers say of theirs.
+	recent, others float64
 	// latency is the mean time of an answer, in seconds; 0 while unknown.
 	latency float64
+	// samples counts the answers that latency is the mean of, up to latencySamples.
+	samples int
 	// progress is when the back end last showed a sign of life.
 	progress time.Duration
 	// silent counts flows unanswered since.
 	silent int
+	// askedAt is when the first opening packet went there that no sign of life has
+	// followed, 0 for none.
+	askedAt time.Duration
+	// doubtUntil ends the present doubt; doubt is how long it is.
+	doubtUntil, doubt time.Duration
+	// heardDoubtUntil ends the doubt that another balancer spoke of.
+	heardDoubtUntil time.Duration
 	// suspectUntil ends the present suspicion; suspicion is how long it was.
 	suspectUntil, suspicion time.Duration
 }
@@ -71,14 +91,10 @@
 	}
 }
 
-func (b *backendState) begin(now time.Duration) {
-	b.active++
-	b.recent++
-}
-
 // finish notes that a request was answered after latency.
 func (b *backendState) finish(latency time.Duration) {
 	b.active--
+	b.samples = min(b.samples+1, latencySamples)
 	if b.latency == 0 {
 		b.latency = latency.Seconds()
 		return
@@ -91,6 +107,41 @@
 	b.progress = now
 	b.silent = 0
 	b.suspectUntil, b.suspicion = 0, 0
+	b.askedAt, b.doubtUntil, b.doubt, b.heardDoubtUntil = 0, 0, 0, 0
+}
+
+// asked notes that an opening packet was sent to the back end.
+func (b *backendState) asked(now time.Duration) {
+	if b.askedAt == 0 {
+		b.askedAt = now
+	}
+}
+
+// doubted tells whether new flows avoid the back end for now: it has not answered
+// lately. Copies still go there, since one lost packet looks the same. When the
+// doubt ends, a single flow may try it.
+func (b *backendState) doubted(now time.Duration) bool {
+	if now < b.doubtUntil || now < b.heardDoubtUntil {
+		return true
+	}
+	if b.askedAt == 0 {
+		return false
+	}
+	if now-b.askedAt < answerTime {
+		return b.doubt > 0
+	}
+	b.askedAt = 0
+	b.doubt = min(max(doubtTime, 2*b.doubt), maxSuspectTime)
+	b.doubtUntil = now + b.doubt
+	return true
+}
+
+// hearDoubt notes that another balancer doubts the back end, unless it has just
+// shown a sign of life here.
+func (b *backendState) hearDoubt(now time.Duration) {
+	if b.progress == 0 || now-b.progress > freshProgress {
+		b.heardDoubtUntil = now + doubtTime
+	}
 }
 
 // noteSilence counts a flow that was asked for at askedAt and not answered.
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"gaugeyard/internal/directory"
@@ -12,6 +13,13 @@
 const (
 	// coldCost is how much slower a back end is taken to be while it warms up.
 	coldCost = 1.6
+	// slowFrom is how many times the usual latency a back end may take before it
+	// counts as slow, slowMost the most that its slowness counts.
+	slowFrom = 1.6
+	slowMost = 8
+	// loadSlack is how much load above the bound is no reason to leave the zone,
+	// in requests a slot: single requests do not count.
+	loadSlack = 1.5
 	// forgetCount is the decayed number of requests below which a group is forgotten.
 	forgetCount = 0.01
 	// groupDecay is what of a group's count is left after a second.
@@ -61,9 +69,10 @@
 type candidate struct {
 	member *directory.Member
 	state  *backendState
-	cost   float64
-	score  float64
-	local  bool
+	// load is the work at the back end relative to its slots, slowness included.
+	load  float64
+	score float64
+	local bool
 }
 
 // choice is the result of choose.
@@ -73,21 +82,22 @@
 }
 
 // choose picks the back end of a new flow among those of the group: the one with
-// the least work here, in the own zone unless that is much busier than others.
-// Where back ends are equal the flow's hash decides, so that balancers that know
-// nothing yet agree and do not crowd one back end.
+// the least work in the own zone, unless even that has more than the load factor
+// allows above the mean of all zones. Where back ends are equal the flow's hash
+// decides, so that balancers that know nothing yet agree and do not crowd one.
 func (s *Steerer) choose(now time.Duration, hash uint64, group *settings.Group, service *settings.Service, avoid *backendState) choice {
 	pool := s.view.Pool(group.Discover)
 	s.candidates = s.candidates[:0]
 	for _, member := range pool.Open {
 		state := s.stateOf(member)
-		if s.config.Mechanisms.NoSuspicion || state != avoid && !state.suspected(now) {
+		if s.config.Mechanisms.NoSuspicion || state != avoid && !state.suspected(now) && !state.doubted(now) {
 			s.addCandidate(now, hash, member, state)
 		}
 	}
 	if len(s.candidates) == 0 {
 		s.addLastResorts(now, hash, pool)
 	}
+	s.weighSlowness()
 	local := best(s.candidates, true)
 	remote := best(s.candidates, false)
 	switch {
@@ -95,15 +105,52 @@
 		return choice{}
 	case local == nil:
 		return choice{remote.member, true}
-	case remote != nil && overloaded(local) && local.cost > service.Spill*remote.cost:
+	case remote != nil && remote.load < local.load && local.load > service.LoadFactor*meanLoad(s.candidates)+loadSlack:
 		return choice{remote.member, true}
 	}
 	return choice{member: local.member}
 }
 
-// overloaded tells whether a new request would wait at the back end.
-func overloaded(c *candidate) bool {
-	return c.state.active+c.state.opening >= max(c.member.Slots, 1)
+// meanLoad is the mean over all zones.
+func meanLoad(candidates []candidate) float64 {
+	sum := 0.0
+	for i := range candidates {
+		sum += candidates[i].load
+	}
+	return sum / float64(len(candidates))
+}
+
+// weighSlowness raises the load of back ends that take much longer to answer than
+// the others of the group: the same work there is more.
+func (s *Steerer) weighSlowness() {
+	usual := s.usualLatency()
+	if usual == 0 {
+		return
+	}
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		if c.state.samples < latencySamples {
+			continue
+		}
+		if slowness := c.state.latency / usual; slowness > slowFrom {
+			c.load *= min(slowness, slowMost)
+		}
+	}
+}
+
+// usualLatency is the lower median of the candidates' mean latencies, 0 while unknown.
+func (s *Steerer) usualLatency() float64 {
+	s.latencies = s.latencies[:0]
+	for i := range s.candidates {
+		if state := s.candidates[i].state; state.samples >= latencySamples {
+			s.latencies = append(s.latencies, state.latency)
+		}
+	}
+	if len(s.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(s.latencies)
+	return s.latencies[(len(s.latencies)-1)/2]
 }
 
 // addLastResorts adds back ends that are suspected, or else those whose entries
@@ -123,23 +170,23 @@
 }
 
 func (s *Steerer) addCandidate(now time.Duration, hash uint64, member *directory.Member, state *backendState) {
-	cost := float64(state.active+state.opening+1) + state.recent
+	load := float64(state.active+1) + state.recent + state.others
 	if now < member.ColdUntil {
-		cost *= coldCost
+		load *= coldCost
 	}
 	if s.config.Mechanisms.NoLoad {
-		cost = 0
+		load = 0
 	}
 	s.candidates = append(s.candidates, candidate{
 		member: member,
 		state:  state,
-		cost:   cost / float64(max(member.Slots, 1)),
+		load:   load / float64(max(member.Slots, 1)),
 		score:  placement.Score(hash, member.ID, 1),
 		local:  member.Zone == s.config.Zone,
 	})
 }
 
-// best returns the cheapest candidate in or outside the own zone, nil for none.
+// best returns the least loaded candidate in or outside the own zone, nil for none.
 func best(candidates []candidate, local bool) *candidate {
 	var best *candidate
 	for i := range candidates {
@@ -147,7 +194,7 @@
 		if c.local != local {
 			continue
 		}
-		if best == nil || c.cost < best.cost || c.cost == best.cost && c.score > best.score {
+		if best == nil || c.load < best.load || c.load == best.load && c.score > best.score {
 			best = c
 		}
 	}
--- a/internal/steering/record.go
+++ b/internal/steering/record.go
@@ -34,8 +34,8 @@
 	openSequence uint32
 	// closed is set once the caller's side has ended.
 	closed bool
-	// waiting is set while a request is under way.
-	waiting bool
+	// waiting is set while a request is under way, begun once there was one.
+	waiting, begun bool
 	// silent is set once the record has counted as evidence that the back end is silent.
 	silent bool
 	// sequence and acknowledged are the caller's newest positions.
@@ -137,7 +137,13 @@
 	}
 	r.waiting = true
 	r.askedAt = now
-	r.backend.begin(now)
+	r.backend.active++
+	if !r.begun {
+		// The first request was counted when the flow was placed.
+		r.begun = true
+		return
+	}
+	r.backend.recent++
 	if r.group != nil {
 		r.group.count++
 	}
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"gaugeyard/internal/directory"
@@ -55,6 +57,7 @@
 	groups   map[groupKey]*groupState
 	// candidates is the memory of placement, reused.
 	candidates []candidate
+	latencies  []float64
 	// running is set by the first sign that the process runs, pulse is the last
 	// one, and resumed the end of its last standstill.
 	running        bool
@@ -102,6 +105,64 @@
 	}
 }
 
+// SetOthersLoad takes over how many requests other balancers began at each back
+// end lately.
+func (s *Steerer) SetOthersLoad(loads map[settings.BackendID]float64) {
+	for id, state := range s.backends {
+		state.others = loads[id]
+	}
+	for id, load := range loads {
+		if s.backends[id] == nil && s.view.Knows(id) {
+			s.backends[id] = &backendState{others: load}
+		}
+	}
+}
+
+// SetOthersDoubts takes over which back ends other balancers doubt at present.
+func (s *Steerer) SetOthersDoubts(now time.Duration, doubted []settings.BackendID) {
+	for _, id := range doubted {
+		if state := s.backends[id]; state != nil {
+			state.hearDoubt(now)
+		}
+	}
+}
+
+// Doubted returns the back ends that this balancer found silent itself, at most count.
+func (s *Steerer) Doubted(now time.Duration, count int) []settings.BackendID {
+	var doubted []settings.BackendID
+	for id, state := range s.backends {
+		if state.doubt > 0 && now < state.doubtUntil || state.suspected(now) {
+			doubted = append(doubted, id)
+		}
+	}
+	slices.Sort(doubted)
+	return doubted[:min(count, len(doubted))]
+}
+
+// RecentLoad returns how many requests this balancer began at each back end lately,
+// the largest first, at most count.
+func (s *Steerer) RecentLoad(count int) []BackendLoad {
+	var loads []BackendLoad
+	for id, state := range s.backends {
+		if state.recent >= leastLoad {
+			loads = append(loads, BackendLoad{id, state.recent})
+		}
+	}
+	slices.SortFunc(loads, func(a, b BackendLoad) int {
+		return cmp.Or(cmp.Compare(b.Recent, a.Recent), cmp.Compare(a.Backend, b.Backend))
+	})
+	return loads[:min(count, len(loads))]
+}
+
+// BackendLoad is the recent work of one balancer at a back end.
+type BackendLoad struct {
+	Backend settings.BackendID
+	Recent  float64
+}
+
+// leastLoad is the load below which others need not know of it.
+const leastLoad = 0.1
+
 // Flows returns how many flows are remembered.
 func (s *Steerer) Flows() int { return len(s.flows) }
 
@@ -192,6 +253,8 @@
 		askedAt:      now,
 	}
 	s.remember(known)
+	state.asked(now)
+	state.recent++
 	weights.count++
 	return Verdict{Action: Forward, Backend: choice.member, Placed: true, Spilled: choice.spilled}
 }
@@ -227,8 +290,12 @@
 		key:      packet.Flow,
 		member:   member,
 		backend:  s.stateOf(member),
+		begun:    true,
 		started:  now,
 		lastSeen: now,
+		// What the caller has received before is no sign of life now.
+		acknowledged: packet.Acknowledged,
+		sequence:     packet.Sequence,
 	}
 	s.remember(known)
 	known.observe(now, packet)
