--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"time"
 
 	"gaugeyard/internal/directory"
@@ -95,6 +96,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	n.notePeerAnswer(call.Peer, answer)
 	if answer.Listing != nil {
 		n.replace(answer.Listing, call.Peer.String(), answer.Age)
 		return 0, answer.Age, nil
@@ -105,6 +107,20 @@
 	return n.apply(answer.Changes, call.Peer.String(), answer.Age), answer.Age, nil
 }
 
+// notePeerAnswer keeps what is known of the peer's freshness up to date.
+func (n *Node) notePeerAnswer(peer netip.AddrPort, answer *peerAnswer) {
+	revision := uint64(0)
+	switch {
+	case answer.Listing != nil:
+		revision = answer.Listing.Revision
+	case answer.Changes != nil:
+		revision = answer.Changes.Revision
+	}
+	n.beliefs.Lock()
+	defer n.beliefs.Unlock()
+	n.peers.Answered(n.now(), peer, answer.Age, revision)
+}
+
 // noteSource logs where changes come from when that changes.
 func (n *Node) noteSource(call follow.Call) {
 	source := "store"
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -296,6 +296,7 @@
 	listing := n.directory.Listing()
 	return func() {
 		asker.whileRunning(0, func() {
+			asker.peers.Answered(asker.now(), n.control, age, listing.Revision)
 			if known {
 				asker.changed(changes, age, nil, end)
 				return
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -2,9 +2,9 @@
 // each one's beliefs are, and from whom this one should hear of changes. It is pure:
 // no clock, no socket.
 //
-// Balancers follow each other so that the store is asked by few. In a zone, a
-// balancer follows a live peer with a lower rank, if there is one; ranks are a hash
-// of the address. Ranks fall strictly along the chain, so that there are no
+// Balancers follow each other so that the store is asked by few. A balancer follows
+// a live peer with a lower rank, if there is one, in its zone or, where the zone is
+// small, in any; ranks are a hash of the address. Ranks fall strictly along the chain, so that there are no
 // circles, and a balancer with no lower neighbour asks the store itself. Each keeps
 // only the neighbours nearest to itself by hash, so that tables stay small in large
 // zones, and about one balancer in maxZonePeers asks the store.
@@ -24,13 +24,17 @@
 const (
 	// HelloInterval is the time between two rounds of hellos.
 	HelloInterval = 500 * time.Millisecond
-	// aliveTime is the silence after which a peer no longer counts as alive.
-	aliveTime = 1600 * time.Millisecond
+	// aliveTime is the silence after which a peer no longer counts as alive. What it
+	// knows is too old to follow much earlier.
+	aliveTime = 3 * time.Second
 	// forgetTime is the silence after which a peer is forgotten.
 	forgetTime = 30 * time.Second
 	// maxZonePeers and maxOtherPeers bound the table.
 	maxZonePeers  = 24
 	maxOtherPeers = 8
+	// smallZone is the number of zone peers below which peers of other zones are
+	// followed too, so that a small fleet asks the store once.
+	smallZone = 8
 	// sampleSize is how many other peers a hello names.
 	sampleSize = 4
 	// othersPerRound is how many peers of other zones get a hello in each round.
@@ -236,21 +240,41 @@
 	return p.StoreAge + now - p.heard
 }
 
-// Upstream returns the peer to follow: the lowest rank of the zone below the own,
-// alive, not leaving, with beliefs confirmed within maxAge. There is none where
-// this balancer should ask the store itself.
+// Answered notes that a peer answered a call: how old its beliefs are and up to
+// where they are complete.
+func (t *Table) Answered(now time.Duration, control netip.AddrPort, age time.Duration, revision uint64) {
+	if peer := t.peers[control]; peer != nil && peer.everHeard {
+		peer.heard, peer.StoreAge, peer.Revision = now, age, revision
+	}
+}
+
+// Upstream returns the peer to follow: the lowest rank below the own, of the zone
+// or, where the zone is small, of any; alive, not leaving, with beliefs confirmed
+// within maxAge. There is none where this balancer should ask the store itself.
 func (t *Table) Upstream(now, maxAge time.Duration) (*Peer, bool) {
-	for _, peer := range t.Alive(now) {
+	alive := t.Alive(now)
+	anyZone := t.zonePeers(alive) < smallZone
+	for _, peer := range alive {
 		if peer.rank >= t.rank {
 			return nil, false
 		}
-		if peer.Zone == t.self.Zone && !peer.Leaving && peer.Age(now) <= maxAge {
+		if (anyZone || peer.Zone == t.self.Zone) && !peer.Leaving && peer.Age(now) <= maxAge {
 			return peer, true
 		}
 	}
 	return nil, false
 }
 
+func (t *Table) zonePeers(peers []*Peer) int {
+	count := 0
+	for _, peer := range peers {
+		if peer.Zone == t.self.Zone {
+			count++
+		}
+	}
+	return count
+}
+
 // Freshest returns the live peer with the newest revision above the given one.
 func (t *Table) Freshest(now time.Duration, above uint64) (*Peer, bool) {
 	var freshest *Peer
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -38,7 +38,6 @@
 	KeyMaxDatagram     Key = "max_datagram"
 	KeyDiscover        Key = "discover"
 	KeyShare           Key = "share"
-	KeySpill           Key = "spill"
 )
 
 // Level is the depth of a node in the tree.
@@ -100,7 +99,6 @@
 	{KeyRefusalRetry, "1s", LevelRoot, LevelService, "1s to 10m", "Time after which a refused caller is told to come back.", canonicalDuration(time.Second, 10*time.Minute)},
 	{KeyDiscover, "", LevelGroup, LevelGroup, "name that servers announce, 1 to 200 characters", "The group's back ends are the servers that announce themselves under this name.", canonicalLabel},
 	{KeyShare, "1", LevelGroup, LevelGroup, "0 to 1000000", "Share of the service's new flows relative to its other groups.", canonicalFloat(0, 1000000)},
-	{KeySpill, "2", LevelRoot, LevelService, "1 to 100", "How many times the load of another zone's back ends those of a node's own zone may have before new flows leave the zone.", canonicalFloat(1, 100)},
 	{KeyMaxDatagram, "4KiB", LevelRoot, LevelService, "64B to 60KiB", "Largest datagram accepted from a caller or back end.", canonicalSize(64, 60<<10)},
 }
 
--- a/internal/settings/snapshot.go
+++ b/internal/settings/snapshot.go
@@ -50,8 +50,6 @@
 	LoadFactor      float64
 	RefusalRetry    time.Duration
 	MaxDatagram     int
-	// Spill is how many times the load of other zones a node's own zone may have.
-	Spill    float64
 	Backends []*Backend
 	// Groups are the groups whose back ends announce themselves, in order of path.
 	Groups []Group
@@ -128,7 +126,6 @@
 		LoadFactor:      reader.float(KeyLoadFactor),
 		RefusalRetry:    reader.duration(KeyRefusalRetry),
 		MaxDatagram:     reader.size(KeyMaxDatagram),
-		Spill:           reader.float(KeySpill),
 	}
 }
 
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -22,6 +22,8 @@
 	doubtTime = 500 * time.Millisecond
 	// freshProgress is how recent a sign of life outweighs another balancer's doubt.
 	freshProgress = 250 * time.Millisecond
+	// latencyLife is how long a mean latency counts without a new sample.
+	latencyLife = 3 * time.Second
 	// latencyGain is the weight of a new sample in the mean latency.
 	latencyGain = 0.2
 	// recentDecay is what of the recent requests is left after a second.
@@ -163,6 +165,11 @@
 	return now < b.suspectUntil
 }
 
-func (b *backendState) decay() {
+// decay lets a second pass. What is known of the latency of a back end that has not
+// answered for a while is forgotten: it may have recovered.
+func (b *backendState) decay(now time.Duration) {
 	b.recent *= recentDecay
+	if now-b.progress > latencyLife {
+		b.latency, b.samples = 0, 0
+	}
 }
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -105,12 +105,26 @@
 		return choice{}
 	case local == nil:
 		return choice{remote.member, true}
-	case remote != nil && remote.load < local.load && local.load > service.LoadFactor*meanLoad(s.candidates)+loadSlack:
+	case remote != nil && remote.load < local.load && s.leavesZone(local, remote, service):
 		return choice{remote.member, true}
 	}
 	return choice{member: local.member}
 }
 
+// leavesZone tells whether a new flow is better off in another zone: the own one has
+// more than its share, or a request would wait there and not elsewhere.
+func (s *Steerer) leavesZone(local, remote *candidate, service *settings.Service) bool {
+	if local.full() && !remote.full() {
+		return true
+	}
+	return local.load > service.LoadFactor*meanLoad(s.candidates)+loadSlack
+}
+
+// full tells whether this balancer alone has a request under way in each slot.
+func (c *candidate) full() bool {
+	return c.state.active >= max(c.member.Slots, 1)
+}
+
 // meanLoad is the mean over all zones.
 func meanLoad(candidates []candidate) float64 {
 	sum := 0.0
--- a/internal/steering/record.go
+++ b/internal/steering/record.go
@@ -180,7 +180,7 @@
 		}
 	}
 	for _, state := range s.backends {
-		state.decay()
+		state.decay(now)
 	}
 	for key, group := range s.groups {
 		group.decay()
