Balancers that have no place for each other no longer greet for ever

A test of the emulator with 12 balancers a zone did not end. Change: only a peer that is kept is new; a hello asks for a reply where the other does not speak by itself; seeds are asked while few are known.

--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -179,14 +179,17 @@
 		n.beliefs.Lock()
 		now := n.now()
 		n.peers.Forget(now)
-		for _, seed := range n.config().Seeds {
-			n.peers.Introduce(now, peers.Introduction{Control: seed})
-		}
+		n.introduceSeeds(now)
 		targets := n.peers.Targets(now)
 		hello := n.hello(now)
 		n.shareLoad(now, hello)
+		asks := make([]bool, len(targets))
+		for i, target := range targets {
+			asks[i] = n.peers.WantsReply(now, target)
+		}
 		n.beliefs.Unlock()
-		for _, target := range targets {
+		for i, target := range targets {
+			hello.Reply = asks[i]
 			n.sendHello(hello, target)
 		}
 		select {
@@ -199,6 +202,16 @@
 	}
 }
 
+// introduceSeeds adds the seeds while few others are known. The beliefs lock is held.
+func (n *Node) introduceSeeds(now time.Duration) {
+	if !n.peers.NeedsIntroductions(now) {
+		return
+	}
+	for _, seed := range n.config().Seeds {
+		n.peers.Introduce(now, peers.Introduction{Control: seed})
+	}
+}
+
 // hello is what this balancer says of itself. The beliefs lock is held.
 func (n *Node) hello(now time.Duration) *peers.Hello {
 	return &peers.Hello{
@@ -280,6 +293,8 @@
 	n.steering.Unlock()
 	if isNew {
 		n.log.Info("peer found", "peer", hello.Control, "zone", hello.Zone, "revision", hello.Revision, "age_ms", hello.StoreAge.Milliseconds())
+	}
+	if isNew || hello.Reply {
 		n.sendHello(reply, hello.Control)
 	}
 	if hello.Revision > 0 && n.learning.CompareAndSwap(false, true) {
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -311,20 +311,22 @@
 func (n *node) sayHello() {
 	now := n.now()
 	for i := range min(seedCount, len(n.world.nodes)) {
-		seed := n.world.nodes[i]
-		n.peers.Introduce(now, peers.Introduction{Control: seed.control})
+		if n.peers.NeedsIntroductions(now) {
+			n.peers.Introduce(now, peers.Introduction{Control: n.world.nodes[i].control})
+		}
 	}
 	n.steerer.SetOthersLoad(n.peers.Loads(now))
 	for _, target := range n.peers.Targets(now) {
-		n.helloTo(target)
+		n.helloTo(target, n.peers.WantsReply(now, target))
 	}
 }
 
-func (n *node) helloTo(control netip.AddrPort) {
+func (n *node) helloTo(control netip.AddrPort, reply bool) {
+	n.world.hellos++
 	now := n.now()
 	hello := &peers.Hello{
 		Control: n.control, Zone: n.zone, Started: int64(n.startedAt) + 1, Leaving: n.leaving,
-		Revision: n.directory.Revision(), StoreAge: now - n.confirmedAt, Others: n.peers.Sample(now),
+		Revision: n.directory.Revision(), StoreAge: now - n.confirmedAt, Others: n.peers.Sample(now), Reply: reply,
 	}
 	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
 	for _, load := range n.steerer.RecentLoad(peers.MaxLoads) {
@@ -342,8 +344,8 @@
 		return
 	}
 	n.steerer.SetOthersDoubts(n.now(), hello.Doubted)
-	if n.peers.Heard(n.now(), hello) {
-		n.helloTo(hello.Control)
+	if n.peers.Heard(n.now(), hello) || hello.Reply {
+		n.helloTo(hello.Control, false)
 	}
 	if hello.Revision == 0 || n.learned {
 		return
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -22,7 +22,9 @@
 	// SmallShare is the part of lookups that ran at the smaller group of "weights".
 	SmallShare float64 `json:"small_share"`
 	StoreCalls int     `json:"store_calls"`
-	Refusals   int     `json:"refusals"`
+	// HellosPerSecond is how many hellos a balancer sends, the mean.
+	HellosPerSecond float64 `json:"hellos_per_second"`
+	Refusals        int     `json:"refusals"`
 	// Checks counts how often each rule had something to judge.
 	Checks     map[string]int `json:"checks"`
 	Violations []Violation    `json:"violations"`
@@ -65,6 +67,7 @@
 		Scenario: w.options.Scenario.Name, Seed: w.options.Seed, Requests: len(w.truth.requests),
 		StoreCalls: w.store.calls, Refusals: w.truth.refusals, Checks: w.truth.checks, Violations: w.truth.violations,
 	}
+	result.HellosPerSecond = float64(w.hellos) / float64(len(w.nodes)) / w.Now.Seconds()
 	inAimCount, served := 0, 0
 	for _, r := range w.truth.requests {
 		switch r.outcome {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -96,6 +96,8 @@
 	nextServer   uint32
 	nextCaller   uint32
 	nextRequest  uint64
+	// hellos counts those that balancers sent.
+	hellos int
 	// loss is the share of datagrams that are lost.
 	loss float64
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -35,6 +35,10 @@
 	// smallZone is the number of zone peers below which peers of other zones are
 	// followed too, so that a small fleet asks the store once.
 	smallZone = 8
+	// fewPeers is the number of live peers below which seeds are asked.
+	fewPeers = 4
+	// replyAfter is the silence after which a peer is asked for a hello.
+	replyAfter = HelloInterval * 5 / 2
 	// sampleSize is how many other peers a hello names.
 	sampleSize = 4
 	// othersPerRound is how many peers of other zones get a hello in each round.
@@ -73,6 +77,9 @@
 	StoreAge time.Duration
 	// Others are more balancers.
 	Others []Introduction
+	// Reply asks for a hello in return: the sender does not hear from the receiver
+	// by itself.
+	Reply bool
 	// Loads are of the back ends that the sender uses most.
 	Loads []Load
 	// Doubted are back ends that the sender found silent.
@@ -126,7 +133,9 @@
 	}
 }
 
-// Heard takes over a hello. It tells whether the sender is new or was started anew.
+// Heard takes over a hello. It tells whether the sender is new here or was started
+// anew, and is kept: a sender for whom the table has no place is forgotten at once
+// and must not be greeted for being new, each time anew.
 func (t *Table) Heard(now time.Duration, hello *Hello) (isNew bool) {
 	if hello.Control == t.self.Control || !hello.Control.IsValid() {
 		return false
@@ -139,7 +148,7 @@
 		t.Introduce(now, other)
 	}
 	t.trim()
-	return isNew
+	return isNew && t.peers[hello.Control] != nil
 }
 
 // trim keeps the peers nearest by hash in the own zone, and some elsewhere.
@@ -189,6 +198,18 @@
 	return alive
 }
 
+// NeedsIntroductions tells whether too few others are alive to do without seeds.
+func (t *Table) NeedsIntroductions(now time.Duration) bool {
+	return len(t.Alive(now)) < fewPeers
+}
+
+// WantsReply tells whether a hello to the peer must ask for one in return: the
+// peer's own table may have no place for this balancer.
+func (t *Table) WantsReply(now time.Duration, control netip.AddrPort) bool {
+	peer := t.peers[control]
+	return peer == nil || !peer.everHeard || now-peer.heard > replyAfter
+}
+
 // Targets returns where the hellos of this round go: all peers of the zone, and
 // some elsewhere in turn.
 func (t *Table) Targets(now time.Duration) []netip.AddrPort {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -164,3 +164,16 @@
 		t.Error("a peer that knows as much is asked")
 	}
 }
+
+// TestASenderWithoutAPlaceIsNotNew: else two balancers greet each other for ever.
+func TestASenderWithoutAPlaceIsNotNew(t *testing.T) {
+	table := New(Introduction{address(0), "a"})
+	for round := range 3 {
+		for other := 1; other <= 3*maxOtherPeers; other++ {
+			isNew := table.Heard(0, hello(address(other), "b", 0))
+			if round > 0 && isNew {
+				t.Fatalf("balancer %d is new in round %d", other, round)
+			}
+		}
+	}
+}
--- a/internal/settings/snapshot.go
+++ b/internal/settings/snapshot.go
@@ -50,7 +50,7 @@
 	LoadFactor      float64
 	RefusalRetry    time.Duration
 	MaxDatagram     int
-	Backends []*Backend
+	Backends        []*Backend
 	// Groups are the groups whose back ends announce themselves, in order of path.
 	Groups []Group
 }
