The emulator on the command line; tests and fuzzing of the process

Cause: the emulator could be reached by tests alone; log lines, holding, readiness and what peers tell had no tests.

--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,234 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/peers"
+	"gaugeyard/internal/settings"
+	"gaugeyard/internal/steering"
+)
+
+// TestLogLinesNeverBlock: a reader that does not read costs lines, never time.
+func TestLogLinesNeverBlock(t *testing.T) {
+	reader, writer := io.Pipe()
+	defer reader.Close()
+	lines := newLineWriter(writer)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 10 * logQueue {
+			_, _ = lines.Write([]byte("a line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a writer of log lines waits for a reader that does not read")
+	}
+	if dropped := lines.dropped.Load(); dropped < 8*logQueue {
+		t.Errorf("%d lines were dropped and counted", dropped)
+	}
+}
+
+// TestHeldDatagramsAreBoundedAndGetOld.
+func TestHeldDatagramsAreBoundedAndGetOld(t *testing.T) {
+	var held holding
+	if !held.keep(0, []byte("old")) {
+		t.Fatal("nothing is held")
+	}
+	for range 2 * maxHeld {
+		held.keep(2*time.Second, []byte("new"))
+	}
+	released := held.release(2 * time.Second)
+	if len(released) != maxHeld-1 || string(released[0]) != "new" {
+		t.Errorf("%d datagrams are released, the first %q", len(released), released[0])
+	}
+	if held.keep(2*time.Second, []byte("late")) {
+		t.Error("a datagram is held after the release")
+	}
+}
+
+func TestConfigNamesEveryFault(t *testing.T) {
+	_, faults := ParseConfig([]byte("zone: \"\"\ndata: here\nseeds: [there]\nworkers: 1000\nready_path: x\nbounds: {grace: 99h}\n"))
+	text := errors.Join(faults...).Error()
+	for _, field := range []string{"zone:", "data:", "ready:", "control:", "store:", "seeds[0]:", "peer_port:", "workers:", "ready_path:", "bounds.grace:"} {
+		if !strings.Contains(text, "settings file: "+field) {
+			t.Errorf("no fault names %s in\n%s", field, text)
+		}
+	}
+}
+
+// fakeSource is a store whose answers a test gives.
+type fakeSource struct {
+	mutex   sync.Mutex
+	listing *directory.Listing
+	changes []*directory.Changes
+	err     error
+}
+
+func (s *fakeSource) List(context.Context) (*directory.Listing, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.listing, s.err
+}
+
+func (s *fakeSource) Changes(context.Context, uint64, time.Duration) (*directory.Changes, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.err != nil {
+		return nil, s.err
+	}
+	if len(s.changes) == 0 {
+		return &directory.Changes{}, nil
+	}
+	next := s.changes[0]
+	s.changes = s.changes[1:]
+	return next, nil
+}
+
+func (s *fakeSource) Reconnect() {}
+
+// newTestNode is a node on loopback that serves nothing.
+func newTestNode(t *testing.T, source Source) *Node {
+	t.Helper()
+	config := Config{
+		Node: "test", Zone: "a", Workers: 1, ReadyPath: "/ready", Bounds: defaultBounds,
+		Data: netip.MustParseAddrPort("127.0.0.1:0"), Control: netip.MustParseAddrPort("127.0.0.1:1"),
+		Defaults: map[settings.Key]string{settings.KeyLoadFactor: "1.5"},
+	}
+	node, err := New(config, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.adapter = Adapter{Source: source, Codec: noCodec{}}
+	t.Cleanup(func() { _ = errors.Join(node.data.Close(), node.peer.Close()) })
+	return node
+}
+
+type noCodec struct{}
+
+func (noCodec) Headroom() int                                { return 0 }
+func (noCodec) Decode([]byte, *steering.Packet) error        { return errors.New("nothing is read") }
+func (noCodec) Forward(b []byte, _ *directory.Member) []byte { return b }
+func (noCodec) Refusal(_, d []byte) []byte                   { return d }
+
+func listing(t *testing.T, revision uint64) *directory.Listing {
+	t.Helper()
+	tree := settings.Tree{"": settings.Values{}}
+	if err := tree.Set("fonts", settings.KeyAddress, "192.0.2.1:80"); err != nil {
+		t.Fatal(err)
+	}
+	return &directory.Listing{
+		Revision: revision,
+		Settings: &directory.Settings{Version: 7, Revision: 1, Tree: tree},
+		Records:  []directory.Record{{Backend: directory.Backend{ID: 9, Group: "fonts", Address: netip.MustParseAddrPort("10.0.0.1:80")}, Revision: 2}},
+	}
+}
+
+func readiness(n *Node) int {
+	recorder := httptest.NewRecorder()
+	n.readyHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/ready", nil))
+	return recorder.Code
+}
+
+// TestReadinessFollowsWhatIsKnown: nothing known, then known, then leaving.
+func TestReadinessFollowsWhatIsKnown(t *testing.T) {
+	source := &fakeSource{listing: listing(t, 5)}
+	node := newTestNode(t, source)
+	if code := readiness(node); code != http.StatusServiceUnavailable {
+		t.Errorf("%d before anything is known", code)
+	}
+	if _, err := node.listStore(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if code := readiness(node); code != http.StatusOK {
+		t.Errorf("%d once settings are known", code)
+	}
+	service := node.directory.View().Settings.ServiceAt(netip.MustParseAddrPort("192.0.2.1:80"))
+	if service == nil || service.LoadFactor != 1.5 {
+		t.Errorf("the process's own default is not in force: %+v", service)
+	}
+	node.Leave()
+	if code := readiness(node); code != http.StatusServiceUnavailable {
+		t.Errorf("%d during a planned stop", code)
+	}
+}
+
+// TestBalancersTellEachOther: what one believes reaches another one whole, the
+// second time as changes only.
+func TestBalancersTellEachOther(t *testing.T) {
+	first := newTestNode(t, &fakeSource{listing: listing(t, 5)})
+	if _, err := first.listStore(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(first.controlHandler())
+	defer server.Close()
+	control := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	second := newTestNode(t, &fakeSource{err: errors.New("the store is silent")})
+	second.learnFrom(context.Background(), control)
+	if second.revision() != 5 || readiness(second) != http.StatusOK {
+		t.Fatalf("revision %d, readiness %d", second.revision(), readiness(second))
+	}
+	first.apply(&directory.Changes{Revision: 6, Gone: []directory.Gone{{ID: 9, Revision: 6}}}, "store", 0)
+	answer, err := (&peerSource{second, control}).changes(context.Background(), 5, time.Second)
+	if err != nil || answer.Changes == nil || answer.Listing != nil || len(answer.Changes.Gone) != 1 {
+		t.Errorf("answer %+v, %v", answer, err)
+	}
+	if _, err := (&peerSource{second, control}).get(context.Background(), pathChanges+"?after=x"); err == nil {
+		t.Error("a faulty question is answered")
+	}
+}
+
+// FuzzPeerAnswer: whatever another balancer sends, it is refused or safe to believe.
+func FuzzPeerAnswer(f *testing.F) {
+	for _, answer := range []peerAnswer{
+		{Age: time.Second, Listing: listing(&testing.T{}, 5)},
+		{Changes: &directory.Changes{Revision: 3, Gone: []directory.Gone{{ID: 1, Revision: 3}}}},
+	} {
+		body, err := msgpack.Marshal(&answer)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	var hello bytes.Buffer
+	encoded, err := encodeHello(&peers.Hello{Control: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	hello.Write(encoded[1:])
+	f.Add(hello.Bytes())
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var answer peerAnswer
+		if msgpack.Unmarshal(body, &answer) == nil && answer.check() == nil {
+			d := directory.New(time.Minute)
+			if answer.Listing != nil {
+				d.Replace(0, answer.Listing)
+			}
+			if answer.Changes != nil {
+				d.Apply(0, answer.Changes)
+			}
+			d.View()
+		}
+		var heard peers.Hello
+		if msgpack.Unmarshal(body, &heard) == nil {
+			table := peers.New(peers.Introduction{Control: netip.MustParseAddrPort("10.0.0.2:80"), Zone: "a"})
+			table.Heard(0, &heard)
+			table.Targets(0)
+			table.Loads(0)
+		}
+	})
+}
--- a/internal/simcli/simcli.go
+++ b/internal/simcli/simcli.go
@@ -46,9 +46,10 @@
 }
 
 type arguments struct {
-	Scale *scaleCommand `arg:"subcommand:scale" help:"measure hollow nodes; one JSON object a line"`
-	Run   *runCommand   `arg:"subcommand:run" help:"run scenarios; one JSON object a line; status 1 when a promise broke"`
-	List  *listCommand  `arg:"subcommand:list" help:"list deployments, scenarios, strategies and mechanisms"`
+	Scale    *scaleCommand    `arg:"subcommand:scale" help:"measure hollow nodes; one JSON object a line"`
+	Run      *runCommand      `arg:"subcommand:run" help:"run scenarios; one JSON object a line; status 1 when a promise broke"`
+	Platform *platformCommand `arg:"subcommand:platform" help:"run fleets on the users' platform; one JSON object a line; status 1 when a rule broke"`
+	List     *listCommand     `arg:"subcommand:list" help:"list deployments, scenarios, strategies and mechanisms"`
 }
 
 // Main runs the command line and returns the exit status.
@@ -70,6 +71,8 @@
 	case parsed.List != nil:
 		list(out)
 		return exitKept
+	case parsed.Platform != nil:
+		return runPlatform(parsed.Platform, out, errOut)
 	case parsed.Scale != nil:
 		return scale(parsed.Scale, out, errOut)
 	case parsed.Run != nil:
