A balancer that is behind asks another one; entries that vanish together are used longer

Reasons in the log were numbers. Change: hellos that tell of a newer revision for 0.4 s end the present call, and the freshest peer is asked; entries of a group that vanish within a second are used for 2.5 s.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -53,6 +53,8 @@
 func (n *Node) carryOut(ctx context.Context, call follow.Call) (follow.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
+	n.overtaken.Store(false)
+	n.giveUp.Store(&cancel)
 	var outcome follow.Outcome
 	var err error
 	switch call.Kind {
@@ -64,6 +66,8 @@
 		outcome.Changes, outcome.Age, err = n.askPeer(ctx, call)
 	}
 	switch {
+	case err != nil && n.overtaken.Load():
+		outcome.Result = follow.Overtaken
 	case errors.Is(err, ErrHistoryLost):
 		outcome.Result = follow.HistoryLost
 	case err != nil:
@@ -137,6 +141,8 @@
 // noteContact logs and counts what became of the contact with the store or a peer.
 func (n *Node) noteContact(contact follow.Contact, call follow.Call, err error) {
 	switch {
+	case err != nil && n.overtaken.Load():
+		n.log.Info("overtaken by peers", "call", call.Kind.String(), "revision", n.revision())
 	case errors.Is(err, ErrHistoryLost):
 		n.log.Info("store history lost", "revision", n.revision())
 	case err != nil && call.Kind == follow.AskPeer:
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -16,6 +16,7 @@
 
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/follow"
 	"gaugeyard/internal/peers"
 	"gaugeyard/internal/settings"
 	"gaugeyard/internal/steering"
@@ -69,6 +70,11 @@
 	steerer     *steering.Steerer
 
 	holding holding
+	// lag is guarded by beliefs. giveUp ends the follower's present call, and
+	// overtaken tells that it was used since the call began.
+	lag       follow.Lag
+	giveUp    atomic.Pointer[context.CancelFunc]
+	overtaken atomic.Bool
 	// changed wakes balancers that wait for changes here.
 	changed broadcast
 	// learning is set once another balancer is asked for everything.
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -287,7 +287,12 @@
 	now := n.now()
 	isNew := n.peers.Heard(now, hello)
 	reply := n.hello(now)
+	behind := n.lag.Note(now, n.directory.Revision(), hello.Revision)
 	n.beliefs.Unlock()
+	if giveUp := n.giveUp.Load(); behind && giveUp != nil {
+		n.overtaken.Store(true)
+		(*giveUp)()
+	}
 	n.steering.Lock()
 	n.steerer.SetOthersDoubts(now, hello.Doubted)
 	n.steering.Unlock()
--- a/internal/edge/verdict.go
+++ b/internal/edge/verdict.go
@@ -45,6 +45,6 @@
 	if verdict.Action == steering.Refuse {
 		message = "flow refused"
 	}
-	n.log.Info(message, "reason", verdict.Reason, "caller", packet.Flow.Caller, "service", packet.Flow.Service,
+	n.log.Info(message, "reason", verdict.Reason.String(), "caller", packet.Flow.Caller, "service", packet.Flow.Service,
 		"attempt", packet.Attempt, "tag", uint32(packet.Tag), "revision", n.viewRevision.Load())
 }
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -65,7 +65,10 @@
 	follower    *follow.Follower
 	confirmedAt time.Duration
 	learned     bool
-	ready       bool
+	lag         follow.Lag
+	// giveUp ends the follower's present call.
+	giveUp func(follow.Outcome)
+	ready  bool
 	// polls are balancers that wait for changes here.
 	polls []func()
 	// newest is the newest version that a packet was handled by in this run.
@@ -79,7 +82,7 @@
 	n.run++
 	n.up, n.leaving, n.ready, n.learned = true, false, false, false
 	n.startedAt, n.newest, n.confirmedAt = w.Now, 0, 0
-	n.polls, n.held, n.queue = nil, nil, nil
+	n.polls, n.held, n.queue, n.giveUp, n.lag = nil, nil, nil, nil, follow.Lag{}
 	keep := flowLife + drainBound
 	if w.options.Without.Departed {
 		keep = -1
@@ -169,6 +172,7 @@
 		answered = true
 		n.finish(call, 0, outcome)
 	}
+	n.giveUp = end
 	timeout := call.Timeout
 	if n.world.options.Without.Deadlines && call.Kind != follow.AskPeer {
 		timeout = hangTime
@@ -344,6 +348,9 @@
 		return
 	}
 	n.steerer.SetOthersDoubts(n.now(), hello.Doubted)
+	if n.lag.Note(n.now(), n.directory.Revision(), hello.Revision) && n.giveUp != nil {
+		n.giveUp(follow.Outcome{Result: follow.Overtaken})
+	}
 	if n.peers.Heard(n.now(), hello) || hello.Reply {
 		n.helloTo(hello.Control, false)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -82,6 +82,9 @@
 	HistoryLost
 	// Failed means that there was no useful answer.
 	Failed
+	// Overtaken means that the call was given up because another balancer has
+	// known more for a while.
+	Overtaken
 )
 
 // Outcome is the result of a call with what decides on the next one.
@@ -166,6 +169,9 @@
 	case HistoryLost:
 		f.historyLost = true
 		return Same
+	case Overtaken:
+		f.catchUp = true
+		return Same
 	case Failed:
 		return f.failed()
 	}
@@ -193,3 +199,32 @@
 	f.broken = true
 	return Lost
 }
+
+// overtakenAfter is how long another balancer must have known more before a call is
+// given up: the store tells all within a moment of each other.
+const overtakenAfter = 400 * time.Millisecond
+
+// Lag notices that others have known more for a while, so that the source that is
+// asked at present must be cut off. The zero value is ready.
+type Lag struct {
+	// own is the revision that others are ahead of since then.
+	own   uint64
+	since time.Duration
+	ahead bool
+}
+
+// Note takes the own revision and one that another balancer told. It returns true
+// when the present call should be given up.
+func (l *Lag) Note(now time.Duration, own, told uint64) bool {
+	if told <= own {
+		if l.ahead && l.own != own {
+			l.ahead = false
+		}
+		return false
+	}
+	if !l.ahead || l.own != own {
+		l.ahead, l.own, l.since = true, own, now
+		return false
+	}
+	return now-l.since >= overtakenAfter
+}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -98,3 +98,37 @@
 		t.Errorf("%v until a hanging peer is given up", total)
 	}
 }
+
+// TestABalancerThatIsBehindAsksAnother instead of waiting for its own source.
+func TestABalancerThatIsBehindAsksAnother(t *testing.T) {
+	f := New(bound)
+	state := State{Revision: 5, Freshest: freshest}
+	if contact := step(t, f, state, WatchStore, Outcome{Result: Overtaken}); contact != Same {
+		t.Errorf("contact %v", contact)
+	}
+	if call := f.Next(state); call.Kind != AskPeer || call.Peer != freshest {
+		t.Errorf("call %+v", call)
+	}
+}
+
+func TestLagNeedsTime(t *testing.T) {
+	var lag Lag
+	for _, moment := range []struct {
+		at        time.Duration
+		own, told uint64
+		want      bool
+	}{
+		{0, 5, 5, false},
+		{100 * time.Millisecond, 5, 6, false},
+		{300 * time.Millisecond, 5, 6, false},
+		{400 * time.Millisecond, 5, 5, false},
+		{600 * time.Millisecond, 5, 7, true},
+		{700 * time.Millisecond, 7, 8, false},
+		{800 * time.Millisecond, 8, 8, false},
+		{1500 * time.Millisecond, 8, 9, false},
+	} {
+		if got := lag.Note(moment.at, moment.own, moment.told); got != moment.want {
+			t.Errorf("at %v: %v", moment.at, got)
+		}
+	}
+}
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -20,6 +20,10 @@
 	// loadSlack is how much load above the bound is no reason to leave the zone,
 	// in requests a slot: single requests do not count.
 	loadSlack = 1.5
+	// together is within what time entries vanish at once, and lapseTogether how many
+	// times the usual grace they then have: still within the drain bound.
+	together      = time.Second
+	lapseTogether = 5.0 / 3
 	// forgetCount is the decayed number of requests below which a group is forgotten.
 	forgetCount = 0.01
 	// groupDecay is what of a group's count is left after a second.
@@ -177,12 +181,28 @@
 		return
 	}
 	for _, member := range pool.Left {
-		if now-member.GoneAt <= s.config.LapseGrace {
+		if now-member.GoneAt <= s.lapseGrace(pool) {
 			s.addCandidate(now, hash, member, s.stateOf(member))
 		}
 	}
 }
 
+// lapseGrace is how long a vanished entry is still used. When all of a group vanish
+// at once, the store has most likely lost them in an outage.
+func (s *Steerer) lapseGrace(pool *directory.Pool) time.Duration {
+	if len(pool.Left) < 2 {
+		return s.config.LapseGrace
+	}
+	first, last := pool.Left[0].GoneAt, pool.Left[0].GoneAt
+	for _, member := range pool.Left {
+		first, last = min(first, member.GoneAt), max(last, member.GoneAt)
+	}
+	if last-first > together {
+		return s.config.LapseGrace
+	}
+	return time.Duration(float64(s.config.LapseGrace) * lapseTogether)
+}
+
 func (s *Steerer) addCandidate(now time.Duration, hash uint64, member *directory.Member, state *backendState) {
 	load := float64(state.active+1) + state.recent + state.others
 	if now < member.ColdUntil {
