A listing is bounded by its pages; replies name neighbours; equal revisions confirm each other

One balancer had 226 connections, since tables found their neighbours slowly. Change: each page has its own bound and pauses have jitter; a process that learned from another one stops its listing; a reply names the balancers nearest to the asker; a hello of the same revision carries the store's confirmation along.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -20,7 +21,7 @@
 	for ctx.Err() == nil {
 		call := follower.Next(n.followState())
 		if call.Kind == follow.Pause {
-			pause(ctx, call.Wait)
+			pause(ctx, call.Wait/2+rand.N(call.Wait))
 			follower.Done(call, follow.Outcome{})
 			continue
 		}
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -286,12 +286,16 @@
 	n.beliefs.Lock()
 	now := n.now()
 	isNew := n.peers.Heard(now, hello)
+	if hello.Revision == n.directory.Revision() {
+		// What the store confirmed to the sender, it confirmed to this one too.
+		n.confirmedAt = max(n.confirmedAt, now-hello.StoreAge)
+	}
 	reply := n.hello(now)
+	reply.Others = n.peers.Nearest(now, hello.Control)
 	behind := n.lag.Note(now, n.directory.Revision(), hello.Revision)
 	n.beliefs.Unlock()
-	if giveUp := n.giveUp.Load(); behind && giveUp != nil {
-		n.overtaken.Store(true)
-		(*giveUp)()
+	if behind {
+		n.stopCall()
 	}
 	n.steering.Lock()
 	n.steerer.SetOthersDoubts(now, hello.Doubted)
@@ -323,6 +327,15 @@
 		return
 	}
 	n.replace(answer.Listing, control.String(), answer.Age)
+	n.stopCall()
+}
+
+// stopCall ends the follower's present call, since more is known already.
+func (n *Node) stopCall() {
+	if giveUp := n.giveUp.Load(); giveUp != nil {
+		n.overtaken.Store(true)
+		(*giveUp)()
+	}
 }
 
 func listenPeers(control netip.AddrPort, port uint16) (*net.UDPConn, error) {
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -351,6 +351,9 @@
 	if n.lag.Note(n.now(), n.directory.Revision(), hello.Revision) && n.giveUp != nil {
 		n.giveUp(follow.Outcome{Result: follow.Overtaken})
 	}
+	if hello.Revision == n.directory.Revision() {
+		n.confirmedAt = max(n.confirmedAt, n.now()-hello.StoreAge)
+	}
 	if n.peers.Heard(n.now(), hello) || hello.Reply {
 		n.helloTo(hello.Control, false)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,8 +10,15 @@
 )
 
 const (
-	// listTimeout bounds one listing.
-	listTimeout = time.Second
+	// listTimeout bounds one listing. Each of its calls has a bound of its own: when
+	// a whole fleet starts, the store is busy, and a listing that makes progress must
+	// not be begun anew.
+	listTimeout = 10 * time.Second
+	// PageTimeout bounds each call of a listing.
+	PageTimeout = 1500 * time.Millisecond
+	// lastListRetry bounds the pause after a failed listing by a balancer that knows
+	// nothing; others may know more by then.
+	lastListRetry = 1600 * time.Millisecond
 	// changesSlack is how much later than asked for the store's answer may come.
 	changesSlack = 500 * time.Millisecond
 	// peerWait is how long a balancer waits for changes at another one, and
@@ -173,7 +180,7 @@
 		f.catchUp = true
 		return Same
 	case Failed:
-		return f.failed()
+		return f.failed(call)
 	}
 	if call.Kind == ListStore {
 		f.historyLost = false
@@ -189,10 +196,14 @@
 	return Same
 }
 
-func (f *Follower) failed() Contact {
+func (f *Follower) failed(call Call) Contact {
 	f.catchUp = true
 	f.pause = f.retry
-	f.retry = min(2*f.retry, lastRetry)
+	most := lastRetry
+	if call.Kind == ListStore {
+		most = lastListRetry
+	}
+	f.retry = min(2*f.retry, most)
 	if f.broken {
 		return Same
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -256,6 +256,21 @@
 	return sample
 }
 
+// Nearest returns the live peers that are nearest by hash to another balancer, which
+// is looking for its neighbours.
+func (t *Table) Nearest(now time.Duration, to netip.AddrPort) []Introduction {
+	rank := RankOf(to)
+	alive := t.Alive(now)
+	slices.SortFunc(alive, func(a, b *Peer) int { return cmp.Compare(a.rank^rank, b.rank^rank) })
+	var nearest []Introduction
+	for _, peer := range alive {
+		if peer.Control != to && len(nearest) < sampleSize {
+			nearest = append(nearest, Introduction{peer.Control, peer.Zone})
+		}
+	}
+	return nearest
+}
+
 // Age is how long ago the store confirmed the peer's beliefs, as far as is known now.
 func (p *Peer) Age(now time.Duration) time.Duration {
 	return p.StoreAge + now - p.heard
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -177,3 +177,26 @@
 		}
 	}
 }
+
+// TestNearestLeadsToNeighbours: a balancer that looks for its neighbours is told of
+// those nearest to itself, not to the one that is asked.
+func TestNearestLeadsToNeighbours(t *testing.T) {
+	table := New(Introduction{address(0), "a"})
+	for other := 1; other <= 20; other++ {
+		table.Heard(0, hello(address(other), "a", 0))
+	}
+	nearest := table.Nearest(0, address(99))
+	if len(nearest) != sampleSize {
+		t.Fatalf("%d are named", len(nearest))
+	}
+	far := RankOf(nearest[len(nearest)-1].Control) ^ RankOf(address(99))
+	closer := 0
+	for other := 1; other <= 20; other++ {
+		if RankOf(address(other))^RankOf(address(99)) < far {
+			closer++
+		}
+	}
+	if closer != sampleSize-1 {
+		t.Errorf("%d balancers are closer than the last one named", closer)
+	}
+}
