What packets show of back ends is logged, with the inputs of each placement

Cause: a line 'flow moved' did not say from where, and doubts were not told. Change: lines for doubted, suspected and answering back ends with how long they were silent; a placement says its load, the mean and the candidates; reasons are words.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -260,7 +260,11 @@
 	}
 	n.steering.Lock()
 	verdict := n.steerer.Steer(now, packet)
+	events := n.steerer.TakeEvents()
 	n.steering.Unlock()
+	if events != nil {
+		n.logObservations(now, events)
+	}
 	switch verdict.Action {
 	case steering.Forward:
 		n.metrics.forwarded.Inc()
--- a/internal/edge/verdict.go
+++ b/internal/edge/verdict.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"math"
 	"net/netip"
+	"time"
 
 	"gaugeyard/internal/steering"
 )
@@ -22,7 +24,8 @@
 		n.logRefusal(packet, verdict)
 	case verdict.Moved:
 		n.metrics.moved.Inc()
-		n.logPlacement("flow moved before opening", packet, verdict)
+		n.log.Info("flow moved before opening", "caller", packet.Flow.Caller, "service", packet.Flow.Service, "attempt", packet.Attempt,
+			"backend", backendName(verdict.Backend.ID), "before", backendName(verdict.Previous.ID), "revision", n.viewRevision.Load())
 	case verdict.Repinned:
 		n.metrics.repinned.Inc()
 	case verdict.Placed:
@@ -30,14 +33,27 @@
 		if verdict.Spilled {
 			n.metrics.spilled.Inc()
 		}
-		n.logPlacement("flow placed", packet, verdict)
+		n.logPlacement(packet, verdict)
 	}
 }
 
-func (n *Node) logPlacement(message string, packet *steering.Packet, verdict *steering.Verdict) {
-	n.log.Info(message, "caller", packet.Flow.Caller, "service", packet.Flow.Service, "attempt", packet.Attempt,
+func (n *Node) logPlacement(packet *steering.Packet, verdict *steering.Verdict) {
+	n.log.Info("flow placed", "caller", packet.Flow.Caller, "service", packet.Flow.Service, "attempt", packet.Attempt,
 		"backend", backendName(verdict.Backend.ID), "address", verdict.Backend.Address, "spilled", verdict.Spilled,
-		"revision", n.viewRevision.Load())
+		"load", round(verdict.Load), "mean", round(verdict.Mean), "candidates", verdict.Candidates, "revision", n.viewRevision.Load())
+}
+
+// logObservations writes what packets have shown of back ends.
+func (n *Node) logObservations(now time.Duration, events []steering.BackendEvent) {
+	for _, event := range events {
+		n.log.Info(string(event.Observation), "backend", backendName(event.Backend), "silent_ms", event.Silence.Milliseconds(),
+			"for_ms", max(0, event.Until-now).Milliseconds(), "revision", n.viewRevision.Load())
+	}
+}
+
+// round keeps a load short in the log.
+func round(load float64) float64 {
+	return math.Round(load*10) / 10
 }
 
 func (n *Node) logRefusal(packet *steering.Packet, verdict *steering.Verdict) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -130,7 +130,7 @@
 
 // TestReferenceIsWhole guards the operators' page against settings it lacks.
 func TestReferenceIsWhole(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATORS.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -140,7 +140,7 @@
 			row += "`" + field.Default + "`"
 		}
 		if !strings.Contains(string(page), row) {
-			t.Errorf("docs/OPERATORS.md has no row %q", row)
+			t.Errorf("docs/OPERATIONS.md has no row %q", row)
 		}
 	}
 }
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gaugeyard/internal/directory"
+	"gaugeyard/internal/settings"
 )
 
 const (
@@ -32,9 +33,35 @@
 	latencySamples = 5
 )
 
+// Observation is a change of what this balancer thinks of a back end.
+type Observation string
+
+// The observations.
+const (
+	// Doubted back ends have not answered an opening packet in time.
+	Doubted Observation = "back end doubted"
+	// Suspected back ends left several callers without an answer.
+	Suspected Observation = "back end suspected"
+	// Answers means that a doubted or suspected back end showed a sign of life.
+	Answers Observation = "back end answers again"
+)
+
+// BackendEvent is one observation with what it rests on.
+type BackendEvent struct {
+	Observation Observation
+	Backend     settings.BackendID
+	// Silence is how long the back end has shown no sign of life.
+	Silence time.Duration
+	// Until is when a doubt or suspicion ends by itself, on the steerer's clock.
+	Until time.Duration
+}
+
 // backendState is what this balancer observes of one back end through the flows
 // that pass here.
 type backendState struct {
+	id settings.BackendID
+	// events collects observations until the driver takes them.
+	events *[]BackendEvent
 	// flows are those at the back end that the caller has not closed.
 	flows int
 	// opening are those of flows that have not opened yet.
@@ -66,12 +93,22 @@
 func (s *Steerer) stateOf(member *directory.Member) *backendState {
 	state := s.backends[member.ID]
 	if state == nil {
-		state = &backendState{}
-		s.backends[member.ID] = state
+		state = s.newState(member.ID)
 	}
 	return state
 }
 
+func (s *Steerer) newState(id settings.BackendID) *backendState {
+	state := &backendState{id: id, events: &s.events}
+	s.backends[id] = state
+	return state
+}
+
+// note adds an observation for the log.
+func (b *backendState) note(observation Observation, silence, until time.Duration) {
+	*b.events = append(*b.events, BackendEvent{observation, b.id, silence, until})
+}
+
 // join counts a new record.
 func (b *backendState) join(known *record) {
 	b.flows++
@@ -106,6 +143,9 @@
 
 // noteProgress clears what spoke against the back end.
 func (b *backendState) noteProgress(now time.Duration) {
+	if b.doubt > 0 || b.suspicion > 0 {
+		b.note(Answers, now-b.progress, 0)
+	}
 	b.progress = now
 	b.silent = 0
 	b.suspectUntil, b.suspicion = 0, 0
@@ -132,9 +172,11 @@
 	if now-b.askedAt < answerTime {
 		return b.doubt > 0
 	}
+	silence := now - b.askedAt
 	b.askedAt = 0
 	b.doubt = min(max(doubtTime, 2*b.doubt), maxSuspectTime)
 	b.doubtUntil = now + b.doubt
+	b.note(Doubted, silence, b.doubtUntil)
 	return true
 }
 
@@ -158,6 +200,7 @@
 	b.silent = 0
 	b.suspicion = min(max(suspectTime, 2*b.suspicion), maxSuspectTime)
 	b.suspectUntil = now + b.suspicion
+	b.note(Suspected, now-askedAt, b.suspectUntil)
 }
 
 // suspected tells whether the back end gets no new flow for now.
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -83,6 +83,7 @@
 type choice struct {
 	member  *directory.Member
 	spilled bool
+	load    float64
 }
 
 // choose picks the back end of a new flow among those of the group: the one with
@@ -108,11 +109,11 @@
 	case local == nil && remote == nil:
 		return choice{}
 	case local == nil:
-		return choice{remote.member, true}
+		return choice{remote.member, true, remote.load}
 	case remote != nil && remote.load < local.load && s.leavesZone(local, remote, service):
-		return choice{remote.member, true}
+		return choice{remote.member, true, remote.load}
 	}
-	return choice{member: local.member}
+	return choice{member: local.member, load: local.load}
 }
 
 // leavesZone tells whether a new flow is better off in another zone: the own one has
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -70,6 +70,12 @@
 	Placed bool
 	// Moved is set when a copy of an opening packet left its silent back end.
 	Moved bool
+	// Previous is the back end that a moved flow left.
+	Previous *directory.Member
+	// Load is the load of the chosen back end relative to its slots, Mean that of
+	// all candidates, and Candidates how many there were; set when Placed.
+	Load, Mean float64
+	Candidates int
 	// Repinned is set when the tag named another back end than the one that the
 	// flow is known to rest on, and the flow was kept where it is.
 	Repinned bool
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -58,6 +58,8 @@
 	// candidates is the memory of placement, reused.
 	candidates []candidate
 	latencies  []float64
+	// events are observations that the driver has not taken yet.
+	events []BackendEvent
 	// running is set by the first sign that the process runs, pulse is the last
 	// one, and resumed the end of its last standstill.
 	running        bool
@@ -113,7 +115,7 @@
 	}
 	for id, load := range loads {
 		if s.backends[id] == nil && s.view.Knows(id) {
-			s.backends[id] = &backendState{others: load}
+			s.newState(id).others = load
 		}
 	}
 }
@@ -163,6 +165,16 @@
 // leastLoad is the load below which others need not know of it.
 const leastLoad = 0.1
 
+// TakeEvents returns the observations since the last call, mostly none.
+func (s *Steerer) TakeEvents() []BackendEvent {
+	if len(s.events) == 0 {
+		return nil
+	}
+	events := s.events
+	s.events = nil
+	return events
+}
+
 // Flows returns how many flows are remembered.
 func (s *Steerer) Flows() int { return len(s.flows) }
 
@@ -207,10 +219,10 @@
 		known.lastSeen = now
 		return Verdict{Action: Forward, Backend: known.member}
 	}
-	avoid := known.backend
+	avoid, previous := known.backend, known.member
 	s.forget(known)
 	verdict := s.place(now, packet, service, avoid)
-	verdict.Moved = true
+	verdict.Moved, verdict.Previous = true, previous
 	return verdict
 }
 
@@ -256,7 +268,10 @@
 	state.asked(now)
 	state.recent++
 	weights.count++
-	return Verdict{Action: Forward, Backend: choice.member, Placed: true, Spilled: choice.spilled}
+	return Verdict{
+		Action: Forward, Backend: choice.member, Placed: true, Spilled: choice.spilled,
+		Load: choice.load, Mean: meanLoad(s.candidates), Candidates: len(s.candidates),
+	}
 }
 
 // steerEstablished forwards a packet of a flow that a back end has answered.
