--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -17,7 +16,7 @@
 	Served float64 `json:"served"`
 	Failed int     `json:"failed"`
 	// Busiest is the largest number of requests begun at a feed server over the
-	// mean, of servers that were there all the time.
+	// mean, of servers that were there all the time; 0 when there were none.
 	Busiest float64 `json:"busiest_over_mean"`
 	// SmallShare is the part of lookups that ran at the smaller group of "weights".
 	SmallShare float64 `json:"small_share"`
@@ -99,7 +98,7 @@
 		count++
 	}
 	if sum == 0 {
-		return math.NaN(), 0
+		return 0, 0
 	}
 	total := w.truth.lookupsAt[serviceFeed] + w.truth.lookupsAt[serviceUpload]
 	return float64(most) * float64(count) / float64(sum), float64(w.truth.lookupsAt[serviceUpload]) / float64(max(1, total))
