A balancer serves at most 48 others; idle connections are closed

Cause: at 300 machines one balancer had 219 connections: a fleet that starts knows the same seeds, and idle connections stayed for ever. Change: a limit, 503, and another upstream for 5 s; idle connections end after 5 s.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -24,7 +24,7 @@
 // second of a cut. Calls need deadlines of their own.
 func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive, Control: setUserTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTime}}
 }
 
 func setUserTimeout(_, _ string, connection syscall.RawConn) error {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -192,6 +192,25 @@
 	}
 }
 
+// TestTooManyFollowersAreSentAway, and served again when others have gone.
+func TestTooManyFollowersAreSentAway(t *testing.T) {
+	first := newTestNode(t, &fakeSource{listing: listing(t, 5)})
+	if _, err := first.listStore(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(first.controlHandler())
+	defer server.Close()
+	source := &peerSource{first, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+	first.followers.Store(maxFollowers)
+	if _, err := source.list(context.Background()); !errors.Is(err, errPeerFull) {
+		t.Errorf("one more is served: %v", err)
+	}
+	first.followers.Store(0)
+	if _, err := source.list(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
 // FuzzPeerAnswer: whatever another balancer sends, it is refused or safe to believe.
 func FuzzPeerAnswer(f *testing.F) {
 	for _, answer := range []peerAnswer{
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -98,6 +98,11 @@
 
 func (n *Node) askPeer(ctx context.Context, call follow.Call) (int, time.Duration, error) {
 	answer, err := (&peerSource{n, call.Peer}).changes(ctx, n.revision(), call.Wait)
+	if errors.Is(err, errPeerFull) {
+		n.beliefs.Lock()
+		n.peers.Refused(n.now(), call.Peer)
+		n.beliefs.Unlock()
+	}
 	if err != nil {
 		return 0, 0, err
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -35,6 +35,8 @@
 	flushTime = 200 * time.Millisecond
 	// shutdownTime bounds the end of HTTP servers and their reading of headers.
 	shutdownTime = time.Second
+	// idleTime is how long a connection may rest on either side.
+	idleTime = 5 * time.Second
 )
 
 // Node is one running balancer process.
@@ -75,6 +77,8 @@
 	lag       follow.Lag
 	giveUp    atomic.Pointer[context.CancelFunc]
 	overtaken atomic.Bool
+	// followers counts the balancers that are being served.
+	followers atomic.Int64
 	// changed wakes balancers that wait for changes here.
 	changed broadcast
 	// learning is set once another balancer is asked for everything.
@@ -288,7 +292,7 @@
 
 // serve runs one HTTP server until ctx ends.
 func (n *Node) serve(ctx context.Context, address string, handler http.Handler) error {
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: shutdownTime}
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: shutdownTime, IdleTimeout: idleTime}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -29,10 +29,16 @@
 	maxPeerWait = 10 * time.Second
 	// maxPeerAnswer bounds what is read of one answer, in bytes.
 	maxPeerAnswer = 64 << 20
+	// maxFollowers is how many other balancers are served at once; more are sent
+	// away and look elsewhere. A fleet that starts knows the same few seeds.
+	maxFollowers = 48
 	// helloVersion is the first byte of a hello.
 	helloVersion = 1
 )
 
+// errPeerFull means that a balancer serves as many others as it can.
+var errPeerFull = errors.New("the balancer serves no more others")
+
 var errEmptyAnswer = errors.New("the balancer's answer is empty")
 
 // peerAnswer is what one balancer tells another of its beliefs.
@@ -69,6 +75,9 @@
 		return nil, err
 	}
 	defer reply.Body.Close()
+	if reply.StatusCode == http.StatusServiceUnavailable {
+		return nil, errPeerFull
+	}
 	if reply.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("balancer %s answered %s", s.control, reply.Status)
 	}
@@ -119,7 +128,20 @@
 		n.answerPeer(w, &answer)
 	})
 	mux.HandleFunc("GET "+pathChanges, n.servePeerChanges)
-	return mux
+	return n.limitFollowers(mux)
+}
+
+// limitFollowers sends away more balancers than can be served at once.
+func (n *Node) limitFollowers(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.followers.Add(1) > maxFollowers {
+			n.followers.Add(-1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer n.followers.Add(-1)
+		next.ServeHTTP(w, r)
+	})
 }
 
 // servePeerChanges answers as soon as there are changes, when the wait is over,
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -35,6 +35,8 @@
 	// smallZone is the number of zone peers below which peers of other zones are
 	// followed too, so that a small fleet asks the store once.
 	smallZone = 8
+	// refusedTime is how long a peer that sent this balancer away is not followed.
+	refusedTime = 5 * time.Second
 	// fewPeers is the number of live peers below which seeds are asked.
 	fewPeers = 4
 	// replyAfter is the silence after which a peer is asked for a hello.
@@ -104,6 +106,9 @@
 	Hello
 	rank  Rank
 	heard time.Duration
+	// refusedUntil is until when the peer, which served as many as it could, is not
+	// followed.
+	refusedUntil time.Duration
 	// everHeard is unset while the peer is known from others only.
 	everHeard bool
 }
@@ -284,6 +289,13 @@
 	}
 }
 
+// Refused notes that a peer serves as many others as it can.
+func (t *Table) Refused(now time.Duration, control netip.AddrPort) {
+	if peer := t.peers[control]; peer != nil {
+		peer.refusedUntil = now + refusedTime
+	}
+}
+
 // Upstream returns the peer to follow: the lowest rank below the own, of the zone
 // or, where the zone is small, of any; alive, not leaving, with beliefs confirmed
 // within maxAge. There is none where this balancer should ask the store itself.
@@ -294,7 +306,7 @@
 		if peer.rank >= t.rank {
 			return nil, false
 		}
-		if (anyZone || peer.Zone == t.self.Zone) && !peer.Leaving && peer.Age(now) <= maxAge {
+		if (anyZone || peer.Zone == t.self.Zone) && !peer.Leaving && now >= peer.refusedUntil && peer.Age(now) <= maxAge {
 			return peer, true
 		}
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// TestAPeerThatRefusedIsNotFollowedForAWhile: the next rank is.
+func TestAPeerThatRefusedIsNotFollowedForAWhile(t *testing.T) {
+	ranked := byRank(3)
+	table := New(Introduction{ranked[2], "a"})
+	table.Heard(0, hello(ranked[0], "a", 0))
+	table.Heard(0, hello(ranked[1], "a", 0))
+	table.Refused(0, ranked[0])
+	if peer, found := table.Upstream(time.Second, maxAge); !found || peer.Control != ranked[1] {
+		t.Errorf("upstream %v %v", peer, found)
+	}
+	table.Heard(refusedTime, hello(ranked[0], "a", 0))
+	if peer, found := table.Upstream(refusedTime, maxAge); !found || peer.Control != ranked[0] {
+		t.Errorf("later, upstream %v %v", peer, found)
+	}
+}
+
 // TestAnAnswerIsAsGoodAsAHello.
 func TestAnAnswerIsAsGoodAsAHello(t *testing.T) {
 	ranked := byRank(2)
