--- /dev/null
+++ b/internal/edge/hello.go
@@ -0,0 +1,157 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gaugeyard/internal/peers"
+)
+
+// peerAddress is where the datagrams for another balancer go.
+func (n *Node) peerAddress(control netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(control.Addr(), n.config().PeerPort)
+}
+
+// sendHellos tells other balancers at each interval that this one lives.
+func (n *Node) sendHellos(ctx context.Context) error {
+	ticker := time.NewTicker(peers.HelloInterval)
+	defer ticker.Stop()
+	for {
+		n.beliefs.Lock()
+		now := n.now()
+		n.peers.Forget(now)
+		n.introduceSeeds(now)
+		targets := n.peers.Targets(now)
+		hello := n.hello(now)
+		n.shareLoad(now, hello)
+		asks := make([]bool, len(targets))
+		for i, target := range targets {
+			asks[i] = n.peers.WantsReply(now, target)
+		}
+		n.beliefs.Unlock()
+		for i, target := range targets {
+			hello.Reply = asks[i]
+			n.sendHello(hello, target)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.stop:
+			pause(ctx, peers.HelloInterval)
+		case <-ticker.C:
+		}
+	}
+}
+
+// introduceSeeds adds the seeds while few others are known. The beliefs lock is held.
+func (n *Node) introduceSeeds(now time.Duration) {
+	if !n.peers.NeedsIntroductions(now) {
+		return
+	}
+	for _, seed := range n.config().Seeds {
+		n.peers.Introduce(now, peers.Introduction{Control: seed})
+	}
+}
+
+// hello is what this balancer says of itself. The beliefs lock is held.
+func (n *Node) hello(now time.Duration) *peers.Hello {
+	return &peers.Hello{
+		Control:  n.config().Control,
+		Zone:     n.config().Zone,
+		Started:  n.started.UnixNano(),
+		Leaving:  n.leaving.Load(),
+		Revision: n.directory.Revision(),
+		StoreAge: n.beliefAge(),
+		Others:   n.peers.Sample(now),
+	}
+}
+
+// shareLoad puts the load of this balancer into a hello and takes over what others
+// said of theirs. The beliefs lock is held.
+func (n *Node) shareLoad(now time.Duration, hello *peers.Hello) {
+	n.steering.Lock()
+	defer n.steering.Unlock()
+	n.steerer.SetOthersLoad(n.peers.Loads(now))
+	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
+	for _, load := range n.steerer.RecentLoad(peers.MaxLoads) {
+		hello.Loads = append(hello.Loads, peers.Load{Backend: load.Backend, Units: uint32(load.Recent / peers.LoadUnit)})
+	}
+}
+
+func (n *Node) sendHello(hello *peers.Hello, control netip.AddrPort) {
+	datagram, err := encodeHello(hello)
+	if err != nil {
+		n.log.Error("cannot encode a hello", "error", err)
+		return
+	}
+	n.metrics.peerBytes.Add(len(datagram))
+	// A peer that cannot be reached is found out by its silence.
+	_, _ = n.peer.WriteToUDPAddrPort(datagram, n.peerAddress(control))
+}
+
+// encodeHello returns the datagram of a hello: a version, then msgpack with
+// structures as arrays.
+func encodeHello(hello *peers.Hello) ([]byte, error) {
+	var buffer bytes.Buffer
+	buffer.WriteByte(helloVersion)
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseCompactInts(true)
+	encoder.UseArrayEncodedStructs(true)
+	err := encoder.Encode(hello)
+	return buffer.Bytes(), err
+}
+
+// receiveHellos reads the hellos of other balancers.
+func (n *Node) receiveHellos(ctx context.Context) error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		length, _, err := n.peer.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			continue
+		}
+		hello := &peers.Hello{}
+		if length == 0 || buffer[0] != helloVersion || msgpack.Unmarshal(buffer[1:length], hello) != nil {
+			n.metrics.peerMalformed.Inc()
+			continue
+		}
+		n.heard(ctx, hello)
+	}
+}
+
+// heard takes over a hello. A balancer that is new is greeted at once, and while
+// nothing is known here, it is asked for what it knows.
+func (n *Node) heard(ctx context.Context, hello *peers.Hello) {
+	n.beliefs.Lock()
+	now := n.now()
+	isNew := n.peers.Heard(now, hello)
+	if hello.Revision == n.directory.Revision() {
+		// What the store confirmed to the sender, it confirmed to this one too.
+		n.confirmedAt = max(n.confirmedAt, now-hello.StoreAge)
+	}
+	reply := n.hello(now)
+	reply.Others = n.peers.Nearest(now, hello.Control)
+	behind := n.lag.Note(now, n.directory.Revision(), hello.Revision)
+	n.beliefs.Unlock()
+	if behind {
+		n.stopCall()
+	}
+	n.steering.Lock()
+	n.steerer.SetOthersDoubts(now, hello.Doubted)
+	n.steering.Unlock()
+	if isNew {
+		n.log.Info("peer found", "peer", hello.Control, "zone", hello.Zone, "revision", hello.Revision, "age_ms", hello.StoreAge.Milliseconds())
+	}
+	if isNew || hello.Reply {
+		n.sendHello(reply, hello.Control)
+	}
+	if hello.Revision > 0 && n.learning.CompareAndSwap(false, true) {
+		go n.learnFrom(ctx, hello.Control)
+	}
+}
--- /dev/null
+++ b/internal/emulator/node_peers.go
@@ -0,0 +1,117 @@
+package emulator
+
+import (
+	"net/netip"
+	"time"
+
+	"gaugeyard/internal/follow"
+	"gaugeyard/internal/peers"
+)
+
+// askPeer waits at another balancer for changes.
+func (n *node) askPeer(call follow.Call, end func(follow.Outcome)) {
+	peer := n.world.nodeAt(call.Peer)
+	if peer == nil || n.cutFromPeers || peer.cutFromPeers {
+		return
+	}
+	after := n.directory.Revision()
+	n.world.After(n.world.delay(n.zone, peer.zone), func() {
+		peer.whileRunning(0, func() {
+			peer.whenChanged(after, call.Wait, func() { n.world.After(n.world.delay(n.zone, peer.zone), peer.answerFor(n, after, end)) })
+		})
+	})
+}
+
+// whenChanged runs reply once there is something newer, or the wait is over.
+func (n *node) whenChanged(after uint64, wait time.Duration, reply func()) {
+	if n.directory.Revision() > after {
+		reply()
+		return
+	}
+	replied := false
+	once := func() {
+		if !replied {
+			replied = true
+			reply()
+		}
+	}
+	n.polls = append(n.polls, once)
+	n.whileRunning(wait, once)
+}
+
+// answerFor collects what another balancer lacks and hands it over.
+func (n *node) answerFor(asker *node, after uint64, end func(follow.Outcome)) func() {
+	age := n.now() - n.confirmedAt
+	changes, known := n.directory.Since(after)
+	listing := n.directory.Listing()
+	return func() {
+		asker.whileRunning(0, func() {
+			asker.peers.Answered(asker.now(), n.control, age, listing.Revision)
+			if known {
+				asker.changed(changes, age, nil, end)
+				return
+			}
+			asker.replace(listing, age)
+			end(follow.Outcome{Age: age})
+		})
+	}
+}
+
+// sayHello tells other balancers that this one lives.
+func (n *node) sayHello() {
+	now := n.now()
+	for i := range min(seedCount, len(n.world.nodes)) {
+		if n.peers.NeedsIntroductions(now) {
+			n.peers.Introduce(now, peers.Introduction{Control: n.world.nodes[i].control})
+		}
+	}
+	n.steerer.SetOthersLoad(n.peers.Loads(now))
+	for _, target := range n.peers.Targets(now) {
+		n.helloTo(target, n.peers.WantsReply(now, target))
+	}
+}
+
+func (n *node) helloTo(control netip.AddrPort, reply bool) {
+	n.world.hellos++
+	now := n.now()
+	hello := &peers.Hello{
+		Control: n.control, Zone: n.zone, Started: int64(n.startedAt) + 1, Leaving: n.leaving,
+		Revision: n.directory.Revision(), StoreAge: now - n.confirmedAt, Others: n.peers.Sample(now), Reply: reply,
+	}
+	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
+	for _, load := range n.steerer.RecentLoad(peers.MaxLoads) {
+		hello.Loads = append(hello.Loads, peers.Load{Backend: load.Backend, Units: uint32(load.Recent / peers.LoadUnit)})
+	}
+	peer := n.world.nodeAt(control)
+	if peer == nil || n.cutFromPeers || peer.cutFromPeers {
+		return
+	}
+	n.world.send(n.zone, peer.zone, func() { peer.whileRunning(0, func() { peer.heardHello(hello) }) })
+}
+
+func (n *node) heardHello(hello *peers.Hello) {
+	if n.peers == nil {
+		return
+	}
+	n.steerer.SetOthersDoubts(n.now(), hello.Doubted)
+	if n.lag.Note(n.now(), n.directory.Revision(), hello.Revision) && n.giveUp != nil {
+		n.giveUp(follow.Outcome{Result: follow.Overtaken})
+	}
+	if hello.Revision == n.directory.Revision() {
+		n.confirmedAt = max(n.confirmedAt, n.now()-hello.StoreAge)
+	}
+	if n.peers.Heard(n.now(), hello) || hello.Reply {
+		n.helloTo(hello.Control, false)
+	}
+	if hello.Revision == 0 || n.learned {
+		return
+	}
+	n.learned = true
+	peer := n.world.nodeAt(hello.Control)
+	n.world.After(n.world.delay(n.zone, peer.zone), func() {
+		peer.whileRunning(0, func() {
+			listing, age := peer.directory.Listing(), peer.now()-peer.confirmedAt
+			n.world.After(n.world.delay(n.zone, peer.zone), func() { n.whileRunning(0, func() { n.replace(listing, age) }) })
+		})
+	})
+}
