Large listings are handed on between balancers; contact is regained through peers too

Cause: 300 balancers that start together list 3,000 servers each, 250 MB over the store's link: settings were known 2.1 to 2.4 s after the start. Change: after the first page a balancer with a live peer of lower rank waits up to 0.8 s for what others know; knowledge is announced at once; a balancer that cannot serve is passed over. A fresh peer's answer ends the loss of contact.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -77,11 +77,16 @@
 	listing *directory.Listing
 	changes []*directory.Changes
 	err     error
+	// paged sources need more than one call to list.
+	paged bool
 }
 
-func (s *fakeSource) List(context.Context) (*directory.Listing, error) {
+func (s *fakeSource) List(_ context.Context, proceed func() bool) (*directory.Listing, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.paged && !proceed() {
+		return nil, ErrListingLeft
+	}
 	return s.listing, s.err
 }
 
@@ -192,6 +197,30 @@
 	}
 }
 
+// TestALargeListingIsLeftWhenAnotherBalancerTellsFirst, and goes on when none does.
+func TestALargeListingIsLeftWhenAnotherBalancerTellsFirst(t *testing.T) {
+	lower := netip.MustParseAddrPort("127.0.0.1:2")
+	for number := uint16(2); peers.RankOf(lower) >= peers.RankOf(netip.MustParseAddrPort("127.0.0.1:1")); number++ {
+		lower = netip.AddrPortFrom(lower.Addr(), number)
+	}
+	for _, tells := range []bool{true, false} {
+		node := newTestNode(t, &fakeSource{listing: listing(t, 5), paged: true})
+		node.beliefs.Lock()
+		node.peers.Heard(node.now(), &peers.Hello{Control: lower, Zone: "a", Started: 1})
+		node.beliefs.Unlock()
+		if tells {
+			go node.replace(listing(t, 4), "a peer", 0)
+		}
+		_, err := node.listStore(context.Background())
+		if left := errors.Is(err, ErrListingLeft); left != tells {
+			t.Errorf("another balancer tells: %v, listing left: %v (%v)", tells, left, err)
+		}
+		if node.revision() == 0 {
+			t.Error("nothing is known")
+		}
+	}
+}
+
 // TestTooManyFollowersAreSentAway, and served again when others have gone.
 func TestTooManyFollowersAreSentAway(t *testing.T) {
 	first := newTestNode(t, &fakeSource{listing: listing(t, 5)})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -69,6 +69,8 @@
 	switch {
 	case err != nil && n.overtaken.Load():
 		outcome.Result = follow.Overtaken
+	case errors.Is(err, ErrListingLeft):
+		outcome.Result = follow.Overtaken
 	case errors.Is(err, ErrHistoryLost):
 		outcome.Result = follow.HistoryLost
 	case err != nil:
@@ -79,7 +81,7 @@
 
 func (n *Node) listStore(ctx context.Context) (int, error) {
 	n.metrics.storeCalls.Inc()
-	listing, err := n.adapter.Source.List(ctx)
+	listing, err := n.adapter.Source.List(ctx, func() bool { return n.proceedsListing(ctx) })
 	if err != nil {
 		return 0, err
 	}
@@ -87,6 +89,34 @@
 	return 0, nil
 }
 
+const (
+	// listPatience is how long a large listing waits for another balancer to learn
+	// first, and listPoll how often it looks. When a whole fleet starts, the store's
+	// link is the bottleneck; balancers hand a listing on much faster.
+	listPatience = 800 * time.Millisecond
+	listPoll     = 20 * time.Millisecond
+)
+
+// proceedsListing is asked before each page of a listing but the first. A balancer
+// that has a live peer of lower rank waits a while for what others know; it returns
+// false when that has made the listing needless.
+func (n *Node) proceedsListing(ctx context.Context) bool {
+	for begun := n.now(); n.now()-begun < listPatience && ctx.Err() == nil; {
+		if n.revision() > 0 {
+			return false
+		}
+		n.beliefs.Lock()
+		waits := n.peers.HasLower(n.now())
+		n.beliefs.Unlock()
+		if !waits || n.listPatient {
+			break
+		}
+		pause(ctx, listPoll)
+	}
+	n.listPatient = true
+	return true
+}
+
 func (n *Node) watchStore(ctx context.Context, wait time.Duration) (int, error) {
 	n.metrics.storeCalls.Inc()
 	changes, err := n.adapter.Source.Changes(ctx, n.revision(), wait)
@@ -147,7 +177,7 @@
 // noteContact logs and counts what became of the contact with the store or a peer.
 func (n *Node) noteContact(contact follow.Contact, call follow.Call, err error) {
 	switch {
-	case err != nil && n.overtaken.Load():
+	case errors.Is(err, ErrListingLeft), err != nil && n.overtaken.Load():
 		n.log.Info("overtaken by peers", "call", call.Kind.String(), "revision", n.revision())
 	case errors.Is(err, ErrHistoryLost):
 		n.log.Info("store history lost", "revision", n.revision())
@@ -163,7 +193,7 @@
 		n.changed.wake()
 		n.log.Warn("store lost", "revision", n.revision(), "call", call.Kind.String(), "error", err)
 	case follow.Regained:
-		n.log.Info("store regained", "revision", n.revision(), "after_ms", (n.now() - n.lostAt).Milliseconds())
+		n.log.Info("store regained", "through", n.source, "revision", n.revision(), "after_ms", (n.now() - n.lostAt).Milliseconds())
 	}
 }
 
@@ -171,11 +201,15 @@
 func (n *Node) replace(listing *directory.Listing, from string, age time.Duration) {
 	n.withDefaults(listing.Settings)
 	n.beliefs.Lock()
+	first := n.directory.Revision() == 0
 	n.steerBy(n.directory.Replace(n.now(), listing), from, age)
 	n.beliefs.Unlock()
 	if n.settingsKnown() {
 		n.handleHeld()
 	}
+	if first {
+		n.announce()
+	}
 }
 
 // apply takes over changes that the store confirmed age ago, logs them and returns
--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -42,11 +42,20 @@
 			return ctx.Err()
 		case <-n.stop:
 			pause(ctx, peers.HelloInterval)
+		case <-n.news:
 		case <-ticker.C:
 		}
 	}
 }
 
+// announce sends a round of hellos at once: this balancer knows something since now.
+func (n *Node) announce() {
+	select {
+	case n.news <- struct{}{}:
+	default:
+	}
+}
+
 // introduceSeeds adds the seeds while few others are known. The beliefs lock is held.
 func (n *Node) introduceSeeds(now time.Duration) {
 	if !n.peers.NeedsIntroductions(now) {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -59,6 +59,8 @@
 	// the store was lost.
 	source string
 	lostAt time.Duration
+	// listPatient is set once a listing has waited for others.
+	listPatient bool
 
 	// beliefs guards directory, peers and confirmedAt. It is taken before
 	// steering, which guards steerer and is all that a packet needs, and before
@@ -77,6 +79,8 @@
 	lag       follow.Lag
 	giveUp    atomic.Pointer[context.CancelFunc]
 	overtaken atomic.Bool
+	// news asks for a round of hellos at once.
+	news chan struct{}
 	// followers counts the balancers that are being served.
 	followers atomic.Int64
 	// changed wakes balancers that wait for changes here.
@@ -118,6 +122,7 @@
 		directory:  directory.New(departedTime(&config)),
 		steerer:    steering.New(steeringConfig(&config)),
 		stop:       make(chan struct{}),
+		news:       make(chan struct{}, 1),
 	}
 	n.current.Store(&config)
 	n.metrics = newMetrics(n)
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -115,23 +115,45 @@
 	return a.Changes.Settings
 }
 
-// learnFrom reads everything that another balancer knows, once after the start:
-// the store may be silent, and it does not know the back ends that have left and
-// still serve flows.
+// learnTries is how many balancers are asked for everything before the next hello
+// must come: each serves a few at once.
+const learnTries = 8
+
+// learnFrom reads everything that another balancer knows, once after the start: the
+// store may be silent or busy, and it does not know the back ends that have left and
+// still serve flows. Where that one cannot serve, others are tried.
 func (n *Node) learnFrom(ctx context.Context, control netip.AddrPort) {
+	for range learnTries {
+		err := n.learnOnce(ctx, control)
+		if err == nil {
+			n.stopCall()
+			return
+		}
+		n.log.Warn("peer gave nothing", "peer", control, "error", err)
+		n.beliefs.Lock()
+		n.peers.Refused(n.now(), control)
+		next, found := n.peers.Freshest(n.now(), 0)
+		n.beliefs.Unlock()
+		if !found || ctx.Err() != nil {
+			break
+		}
+		control = next.Control
+	}
+	n.learning.Store(false)
+}
+
+func (n *Node) learnOnce(ctx context.Context, control netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
 	defer cancel()
 	answer, err := (&peerSource{n, control}).list(ctx)
-	if err == nil && answer.Listing == nil {
-		err = errEmptyAnswer
-	}
 	if err != nil {
-		n.log.Warn("peer gave nothing", "peer", control, "error", err)
-		n.learning.Store(false)
-		return
+		return err
+	}
+	if answer.Listing == nil {
+		return errEmptyAnswer
 	}
 	n.replace(answer.Listing, control.String(), answer.Age)
-	n.stopCall()
+	return nil
 }
 
 // stopCall ends the follower's present call, since more is known already.
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -30,8 +30,9 @@
 
 // Source is where the desired state is read.
 type Source interface {
-	// List reads everything.
-	List(ctx context.Context) (*directory.Listing, error)
+	// List reads everything. Where that takes more than one call, it asks proceed
+	// before each further one and ends with ErrListingLeft when that returns false.
+	List(ctx context.Context, proceed func() bool) (*directory.Listing, error)
 	// Changes waits up to wait for changes after a revision. It returns at once
 	// when there are any, and ErrHistoryLost when the revision is too old.
 	Changes(ctx context.Context, after uint64, wait time.Duration) (*directory.Changes, error)
@@ -43,6 +44,9 @@
 // and everything must be listed again.
 var ErrHistoryLost = errors.New("the store has no history since the revision")
 
+// ErrListingLeft means that a listing was not finished, since it is not needed any more.
+var ErrListingLeft = errors.New("the listing was left unfinished")
+
 // Adapter is everything that a platform gives to the process.
 type Adapter struct {
 	Codec  Codec
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -170,7 +170,10 @@
 		return Same
 	case AskPeer:
 		f.storeTurn = outcome.Result != Done || outcome.Age > MaxPeerAge(f.contactBound)
-		return Same
+		if f.storeTurn {
+			return Same
+		}
+		return f.regained()
 	}
 	switch outcome.Result {
 	case HistoryLost:
@@ -188,12 +191,17 @@
 	if outcome.Changes > 0 {
 		f.pause = gatherTime
 	}
+	return f.regained()
+}
+
+// regained notes that the store's word has arrived, directly or through a peer.
+func (f *Follower) regained() Contact {
 	f.retry = firstRetry
-	if f.broken {
-		f.broken = false
-		return Regained
+	if !f.broken {
+		return Same
 	}
-	return Same
+	f.broken = false
+	return Regained
 }
 
 func (f *Follower) failed(call Call) Contact {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -132,3 +132,19 @@
 		}
 	}
 }
+
+// TestContactIsRegainedThroughAPeerToo: one whose beliefs the store has confirmed lately.
+func TestContactIsRegainedThroughAPeerToo(t *testing.T) {
+	f := New(bound)
+	state := State{Revision: 5, Upstream: upstream}
+	step(t, f, State{Revision: 5}, WatchStore, Outcome{Result: Failed})
+	step(t, f, State{Revision: 5}, Pause, Outcome{})
+	if contact := step(t, f, state, AskPeer, Outcome{Age: 2 * MaxPeerAge(bound)}); contact != Same {
+		t.Errorf("through a stale peer: %v", contact)
+	}
+	step(t, f, state, WatchStore, Outcome{Result: Failed})
+	step(t, f, state, Pause, Outcome{})
+	if contact := step(t, f, state, AskPeer, Outcome{}); contact != Regained {
+		t.Errorf("through a fresh peer: %v", contact)
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -323,11 +323,18 @@
 	return count
 }
 
-// Freshest returns the live peer with the newest revision above the given one.
+// HasLower tells whether a live peer has a lower rank.
+func (t *Table) HasLower(now time.Duration) bool {
+	alive := t.Alive(now)
+	return len(alive) > 0 && alive[0].rank < t.rank
+}
+
+// Freshest returns the live peer with the newest revision above the given one, of
+// those that did not send this balancer away lately.
 func (t *Table) Freshest(now time.Duration, above uint64) (*Peer, bool) {
 	var freshest *Peer
 	for _, peer := range t.Alive(now) {
-		if peer.Revision > above && (freshest == nil || peer.Revision > freshest.Revision) {
+		if peer.Revision > above && now >= peer.refusedUntil && (freshest == nil || peer.Revision > freshest.Revision) {
 			freshest = peer
 		}
 	}
