The memory of flows is bounded

Cause: a flood of opening packets could grow it without end. Change: 400,000 flows are remembered; others follow their tag alone.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -27,6 +27,8 @@
 	socketBuffer = 1 << 20
 	// maxDatagram is the longest datagram that is read, in bytes.
 	maxDatagram = 2048
+	// maxFlows bounds the memory of flows at about 100 MB.
+	maxFlows = 400_000
 	// tickInterval is how often time passes in the steerer.
 	tickInterval = time.Second
 	// sampleEvery is how many packets pass for each that is timed.
@@ -139,6 +141,7 @@
 		Zone:       config.Zone,
 		FlowLife:   config.Bounds.FlowLife,
 		LapseGrace: config.Bounds.Drain / 2,
+		MaxFlows:   maxFlows,
 	}
 }
 
--- a/internal/steering/record.go
+++ b/internal/steering/record.go
@@ -45,10 +45,14 @@
 	askedAt time.Duration
 }
 
-// remember adds a new record.
-func (s *Steerer) remember(known *record) {
+// remember adds a new record, and tells whether there was room for it.
+func (s *Steerer) remember(known *record) bool {
+	if s.config.MaxFlows > 0 && len(s.flows) >= s.config.MaxFlows {
+		return false
+	}
 	s.flows[known.key] = known
 	known.backend.join(known)
+	return true
 }
 
 // forget removes a record; nil is allowed.
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -20,6 +20,9 @@
 	// LapseGrace is how long after their entries vanished back ends may still take
 	// new flows, where a group has no other: entries also vanish by mistake.
 	LapseGrace time.Duration
+	// MaxFlows bounds the flows that are remembered; 0 is no bound. Others are
+	// forwarded by their tag alone.
+	MaxFlows int
 	// Mechanisms are turned off by experiments alone.
 	Mechanisms Mechanisms
 }
@@ -312,8 +315,9 @@
 		acknowledged: packet.Acknowledged,
 		sequence:     packet.Sequence,
 	}
-	s.remember(known)
-	known.observe(now, packet)
+	if s.remember(known) {
+		known.observe(now, packet)
+	}
 	return Verdict{Action: Forward, Backend: member}
 }
 
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -532,6 +532,28 @@
 	}
 }
 
+// TestAFloodOfFlowsIsBounded: what is not remembered is forwarded all the same.
+func TestAFloodOfFlowsIsBounded(t *testing.T) {
+	f := newFleet(t)
+	config := f.steerer.config
+	config.MaxFlows = 50
+	f.steerer.Reconfigure(config)
+	for caller := range 200 {
+		member := f.opened(caller, feedAddress)
+		if verdict := f.established(caller, feedAddress, member.Tag, 2, 10); verdict.Action != Forward || verdict.Backend.ID != member.ID {
+			t.Fatalf("flow %d: %+v", caller, verdict)
+		}
+	}
+	if f.steerer.Flows() != 50 {
+		t.Errorf("%d flows are remembered", f.steerer.Flows())
+	}
+	for _, state := range f.steerer.backends {
+		if state.flows < 0 || state.opening < 0 || state.active < 0 {
+			t.Errorf("counts fall below nothing: %+v", *state)
+		}
+	}
+}
+
 func TestNothingIsPlacedBeforeSettingsAreKnown(t *testing.T) {
 	steerer := New(Config{Zone: "a", FlowLife: time.Minute})
 	verdict := steerer.Steer(0, &Packet{Flow: key(1, feedAddress), Kind: Open})
