The emulator judges MIXED and LOST too

Cause: two rules in force were not judged there. Change: answers must come from the flow's server; at the end every balancer in touch has the newest version; a scenario with a late outage shows that LOST can fail; a switch that nothing showed is gone.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -253,7 +253,7 @@
 }
 
 // receive takes the server's answer: whole, not run, or closing.
-func (c *clientFlow) receive(r *request, notRun, closing bool, tag uint32) {
+func (c *clientFlow) receive(from *server, r *request, notRun, closing bool, tag uint32) {
 	if c.closed {
 		return
 	}
@@ -263,6 +263,7 @@
 	if c.request != r || r == nil {
 		return
 	}
+	c.world.truth.answered(from, c, r)
 	c.request = nil
 	c.sequence += uint32(profiles[r.kind].parts * partSize)
 	if closing || r.kind != stream {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -16,7 +16,7 @@
 				for _, violation := range result.Violations {
 					t.Errorf("seed %d: %v", seed, violation)
 				}
-				for _, rule := range []string{ruleRoute, ruleDrain, ruleConfig, ruleFlow, ruleTwice} {
+				for _, rule := range []string{ruleRoute, ruleDrain, ruleConfig, ruleFlow, ruleTwice, ruleMixed, ruleLost} {
 					if result.Checks[rule] == 0 {
 						t.Errorf("seed %d: %s had nothing to judge", seed, rule)
 					}
@@ -78,6 +78,7 @@
 	}{
 		{"packets name their server", "address-reuse", 1, Without{ServerNames: true}, ruleRoute},
 		{"calls have deadlines", "store-silent", 1, Without{Deadlines: true}, ruleConfig},
+		{"calls have deadlines", "store-silent-late", 1, Without{Deadlines: true}, ruleLost},
 		{"calls have deadlines, or peers tell more", "store-cut", 1, Without{Deadlines: true, Peers: true}, ruleDrain},
 		{"a listing tells by difference what is gone", "store-compact", 1, Without{Differences: true}, ruleDrain},
 		{"copies go where the first one went, or pins hold", "lossy", 1, Without{CopyMemory: true, Pins: true}, ruleFlow},
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -220,9 +220,6 @@
 }
 
 func (n *node) replace(listing *directory.Listing, age time.Duration) {
-	if n.world.options.Without.Monotonic && listing.Revision < n.directory.Revision() {
-		n.directory = directory.New(flowLife)
-	}
 	if n.world.options.Without.Differences {
 		// The listing says nothing of what vanished.
 		n.apply(&directory.Changes{Revision: listing.Revision, Settings: listing.Settings, Records: listing.Records}, age)
--- a/internal/emulator/observer.go
+++ b/internal/emulator/observer.go
@@ -17,6 +17,8 @@
 	ruleFlow    = "FLOW"
 	ruleTwice   = "UNASKED"
 	ruleRecover = "RECOVER"
+	ruleMixed   = "MIXED"
+	ruleLost    = "LOST"
 )
 
 // recoverShare is the part of requests that must be served after recovery.
@@ -202,6 +204,14 @@
 	return !s.crashed && !s.hung && o.world.Now-s.disturbed >= contactBound && o.world.Now-c.opened <= flowLife
 }
 
+// answered judges that an answer comes from the server at which its flow is open.
+func (o *observer) answered(s *server, c *clientFlow, r *request) {
+	o.checks[ruleMixed]++
+	if c.server != nil && c.server != s {
+		o.broken(ruleMixed, "request %d of a flow at server %s is answered by %s", r.id, idText(c.server.id), idText(s.id))
+	}
+}
+
 // ran judges that a request that may not be repeated runs once.
 func (o *observer) ran(s *server, r *request) {
 	o.checks[ruleTwice]++
@@ -213,8 +223,27 @@
 	}
 }
 
+// judgeLost judges that what operators were told is accepted is in force at the end
+// on every balancer in touch.
+func (o *observer) judgeLost() {
+	newest := o.versions[len(o.versions)-1]
+	if o.world.Now-newest.at < applyBound {
+		return
+	}
+	for _, n := range o.world.nodes {
+		if !n.inTouch() {
+			continue
+		}
+		o.checks[ruleLost]++
+		if version := n.directory.SettingsVersion(); version != newest.version {
+			o.broken(ruleLost, "balancer %s has version %d, not %d", n.control, version, newest.version)
+		}
+	}
+}
+
 // finish judges what only the end shows.
 func (o *observer) finish() {
+	o.judgeLost()
 	if !o.allKilled {
 		return
 	}
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -42,6 +42,7 @@
 	{"balancer-freeze", "a balancer of each zone stands still for three seconds", (*world).freezeSome},
 	{"kill-all", "every balancer is killed at once", (*world).killAll},
 	{"store-silent", "the store says nothing for six seconds while servers leave", duringFault(storeSilent)},
+	{"store-silent-late", "the store is silent late in the run, and a version follows", (*world).silentLate},
 	{"store-busy", "the store is not available for six seconds while servers leave", duringFault(storeBusy)},
 	{"store-reset", "the store breaks connections for six seconds", duringFault(storeReset)},
 	{"store-slow", "the store takes sixty times as long for six seconds", duringFault(storeSlow)},
@@ -207,6 +208,16 @@
 	}
 }
 
+func (w *world) silentLate() {
+	const begin = troubleStart + 12*time.Second
+	w.At(begin, func() { w.store.setFault(storeSilent) })
+	w.At(begin+faultTime, func() { w.store.setFault(storeSound) })
+	w.At(begin+faultTime+time.Second, func() {
+		w.operator.probe = serviceFeed
+		w.operator.publish()
+	})
+}
+
 func (w *world) storeLapse() {
 	w.At(troubleStart, func() { w.store.setFault(storeSilent) })
 	w.At(troubleStart+faultTime, func() {
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -255,6 +255,6 @@
 	}
 	tag := f.tag
 	closing := s.draining
-	s.world.send(s.zone, "", func() { c.receive(r, notRun, closing, tag) })
+	s.world.send(s.zone, "", func() { c.receive(s, r, notRun, closing, tag) })
 	s.world.After(repeat, func() { s.respond(f, c, r, notRun, min(2*repeat, lastRepeat), sent+1) })
 }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -53,8 +53,6 @@
 	Release bool
 	// Deadlines lets calls to the store wait for as long as they may hang.
 	Deadlines bool
-	// Monotonic takes over whatever a call returns, also an older revision.
-	Monotonic bool
 	// Differences applies a listing without what vanished since the last one.
 	Differences bool
 }
