A back end is not doubted for flows that are not remembered

Cause: read again: at the bound of remembered flows a placed flow has no record, so that no sign of life ever follows its opening packet, and a sound back end was doubted. Change: only a remembered flow is waited for. Measured: the new assertion in TestAFloodOfFlowsIsBounded fails without the change and passes with it; tests of steering, edge and the emulator pass.

--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -267,8 +267,10 @@
 		lastSeen:     now,
 		askedAt:      now,
 	}
-	s.remember(known)
-	state.asked(now)
+	if s.remember(known) {
+		// Without a record nothing would ever show that the back end answered.
+		state.asked(now)
+	}
 	state.recent++
 	weights.count++
 	return Verdict{
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -544,6 +544,12 @@
 			t.Fatalf("flow %d: %+v", caller, verdict)
 		}
 	}
+	f.pass(answerTime)
+	for id, state := range f.steerer.backends {
+		if state.doubted(f.now) {
+			t.Errorf("back end %d, which answers, is doubted", id)
+		}
+	}
 	if f.steerer.Flows() != 50 {
 		t.Errorf("%d flows are remembered", f.steerer.Flows())
 	}
