What a balancer learns at its start keeps the age that its teacher gave

The time of the last confirmation began as 0 on the clock of the process, so that a balancer that had just started and was taught beliefs 1.6 s old told others that they were as old as the process. With two lower-ranked balancers cut off from the store and the others restarting in turn, old beliefs were renewed by each restart. Change: follow.Confirmation keeps the time of the last confirmation, never is its zero value, and what was confirmed before the start keeps its age. Edge and emulator use the one type.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -191,7 +191,7 @@
 // steerBy lets packets be steered by what is believed now and tells those who
 // follow. The beliefs lock is held.
 func (n *Node) steerBy(events []directory.Event, from string, age time.Duration) {
-	n.confirmedAt = max(n.confirmedAt, n.now()-age)
+	n.confirmed.Note(n.now(), age)
 	if n.viewRevision.Swap(n.directory.Revision()) == n.directory.Revision() && len(events) == 0 {
 		return
 	}
@@ -211,7 +211,7 @@
 
 // beliefAge is how long ago the store confirmed what is believed. The beliefs lock is held.
 func (n *Node) beliefAge() time.Duration {
-	return n.now() - n.confirmedAt
+	return n.confirmed.Age(n.now())
 }
 
 // withDefaults gives the root of the operators' tree the process's own defaults.
--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -163,7 +163,7 @@
 	isNew := n.peers.Heard(now, hello)
 	if hello.Revision == n.directory.Revision() {
 		// What the store confirmed to the sender, it confirmed to this one too.
-		n.confirmedAt = max(n.confirmedAt, now-hello.StoreAge)
+		n.confirmed.Note(now, hello.StoreAge)
 	}
 	var reply *peers.Hello
 	if isNew || hello.Reply {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -67,14 +67,14 @@
 	source string
 	lostAt time.Duration
 
-	// beliefs guards directory, peers, confirmedAt and generation. It is taken before
+	// beliefs guards directory, peers, confirmed and generation. It is taken before
 	// steering, which guards steerer and is all that a packet needs, and before
 	// the lock of changed.
 	beliefs   sync.Mutex
 	directory *directory.Directory
 	peers     *peers.Table
-	// confirmedAt is when the store last confirmed what is believed.
-	confirmedAt time.Duration
+	// confirmed is when the store last confirmed what is believed.
+	confirmed follow.Confirmation
 	// generation counts the changes of what is believed.
 	generation uint64
 	steering   sync.Mutex
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -58,14 +58,14 @@
 	// disturbed is when the machine was last disturbed.
 	disturbed time.Duration
 
-	startedAt   time.Duration
-	directory   *directory.Directory
-	steerer     *steering.Steerer
-	peers       *peers.Table
-	follower    *follow.Follower
-	confirmedAt time.Duration
-	learned     bool
-	lag         follow.Lag
+	startedAt time.Duration
+	directory *directory.Directory
+	steerer   *steering.Steerer
+	peers     *peers.Table
+	follower  *follow.Follower
+	confirmed follow.Confirmation
+	learned   bool
+	lag       follow.Lag
 	// giveUp ends the follower's present call.
 	giveUp func(follow.Outcome)
 	ready  bool
@@ -81,7 +81,7 @@
 	w := n.world
 	n.run++
 	n.up, n.leaving, n.ready, n.learned = true, false, false, false
-	n.startedAt, n.newest, n.confirmedAt = w.Now, 0, 0
+	n.startedAt, n.newest, n.confirmed = w.Now, 0, follow.Confirmation{}
 	n.polls, n.held, n.queue, n.giveUp, n.lag = nil, nil, nil, nil, follow.Lag{}
 	keep := flowLife + drainBound
 	if w.options.Without.Departed {
@@ -233,7 +233,7 @@
 
 // believe lets packets be steered by what is known now and tells those that wait.
 func (n *node) believe(age time.Duration) {
-	n.confirmedAt = max(n.confirmedAt, n.now()-age)
+	n.confirmed.Note(n.now(), age)
 	if n.world.options.Without.Departed {
 		n.directory.Forget(n.now())
 	}
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -42,7 +42,7 @@
 
 // answerFor collects what another balancer lacks and hands it over.
 func (n *node) answerFor(asker *node, after, base uint64, end func(follow.Outcome)) func() {
-	age := n.now() - n.confirmedAt
+	age := n.confirmed.Age(n.now())
 	changes, known := n.directory.Since(after, base)
 	listing := n.directory.Listing()
 	return func() {
@@ -79,7 +79,7 @@
 	now := n.now()
 	hello := &peers.Hello{
 		Control: n.control, Zone: n.zone, Started: int64(n.startedAt) + 1, Leaving: n.leaving,
-		Revision: n.directory.Revision(), StoreAge: now - n.confirmedAt, Others: n.peers.Sample(now), Reply: target.Reply, Full: true,
+		Revision: n.directory.Revision(), StoreAge: n.confirmed.Age(now), Others: n.peers.Sample(now), Reply: target.Reply, Full: true,
 	}
 	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
 	for _, load := range n.steerer.RecentLoad(peers.MaxLoads) {
@@ -111,7 +111,7 @@
 		n.giveUp(follow.Outcome{Result: follow.Overtaken})
 	}
 	if hello.Revision == n.directory.Revision() {
-		n.confirmedAt = max(n.confirmedAt, n.now()-hello.StoreAge)
+		n.confirmed.Note(n.now(), hello.StoreAge)
 	}
 	if n.peers.Heard(n.now(), hello) || hello.Reply {
 		n.helloTo(peers.Target{Control: hello.Control, Full: true})
@@ -123,7 +123,7 @@
 	peer := n.world.nodeAt(hello.Control)
 	n.world.After(n.world.delay(n.zone, peer.zone), func() {
 		peer.whileRunning(0, func() {
-			listing, age := peer.directory.Listing(), peer.now()-peer.confirmedAt
+			listing, age := peer.directory.Listing(), peer.confirmed.Age(peer.now())
 			n.world.After(n.world.delay(n.zone, peer.zone), func() { n.whileRunning(0, func() { n.replace(listing, age) }) })
 		})
 	})
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -1,8 +1,11 @@
 package emulator
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"gaugeyard/internal/peers"
 )
 
 const (
@@ -51,6 +54,7 @@
 	{"store-lapse", "all entries lapse during an outage", (*world).storeLapse},
 	{"store-compact", "the store loses its history after changes that no watch heard of", (*world).storeCompact},
 	{"store-cut", "half of the balancers are cut off from the store, and the cut heals", (*world).storeCut},
+	{"cut-sources", "the balancers that others follow are cut off from the store while the others restart in turn and servers leave", (*world).cutSources},
 	{"start-in-outage", "balancers start while the store is silent", (*world).startInOutage},
 	{"lossy", "one datagram in twenty is lost while balancers come and go", (*world).lossy},
 	{"chaos", "a mix of all of this, drawn from the seed", (*world).chaos},
@@ -273,6 +277,30 @@
 	})
 }
 
+// cutSources cuts those that most others follow off from the store alone, so that they go
+// on telling what they know, and restarts the others in turn while servers leave.
+func (w *world) cutSources() {
+	const cutTime = 14 * time.Second
+	ranked := slices.Clone(w.nodes)
+	slices.SortFunc(ranked, func(a, b *node) int {
+		return cmp.Compare(peers.RankOf(a.control), peers.RankOf(b.control))
+	})
+	sources, others := ranked[:2], ranked[2:]
+	w.At(troubleStart, func() {
+		for _, n := range sources {
+			n.cut(cutTime, false)
+		}
+	})
+	for i := range 2 * len(others) {
+		w.At(troubleStart+time.Duration(i)*1100*time.Millisecond, func() {
+			if n := others[i%len(others)]; n.up && !n.leaving {
+				n.stop()
+			}
+		})
+	}
+	w.release()
+}
+
 // cut partitions a machine from the store, and from other balancers too.
 func (n *node) cut(length time.Duration, peersToo bool) {
 	n.disturb()
