A call at another balancer ends before its word is too old

Cause: a balancer followed another one whose beliefs were up to 1.6 s old and then waited up to 1.3 s for its answer: 2.9 s until it asked the store, just below bounds of 3 s, on a slow machine above them. Change: the wait ends when the source's word, not renewed, is as old as is allowed (at least 0.1 s), so that a balancer asks the store 0.3 s after that age at the latest. Answers now reach the run that asked.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -44,7 +44,7 @@
 	now := n.now()
 	state := follow.State{Revision: n.directory.Revision()}
 	if peer, found := n.peers.Upstream(now, follow.MaxPeerAge(n.config().Bounds.Contact)); found {
-		state.Upstream = peer.Control
+		state.Upstream, state.UpstreamAge = peer.Control, peer.Age(now)
 	}
 	if peer, found := n.peers.Freshest(now, state.Revision); found {
 		state.Freshest = peer.Control
--- a/internal/emulator/listing.go
+++ b/internal/emulator/listing.go
@@ -21,8 +21,9 @@
 
 // listPage reads the next page of a listing into what was read of it so far.
 func (n *node) listPage(paged *follow.Listing, listing *directory.Listing, after settings.BackendID, end func(follow.Outcome)) {
+	toAsker := n.toThisRun()
 	n.world.store.list(n, after, func(answer *page, err error) {
-		n.whileRunning(0, func() { n.listed(paged, listing, after, answer, err, end) })
+		toAsker(func() { n.listed(paged, listing, after, answer, err, end) })
 	})
 }
 
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -128,6 +128,18 @@
 	n.world.After(delay, attempt)
 }
 
+// toThisRun returns a function that lets the process that runs now do something, and nobody
+// if that one has ended by then: its connections are gone, and what was asked over them is
+// not answered to the next process.
+func (n *node) toThisRun() func(do func()) {
+	run := n.run
+	return func(do func()) {
+		if n.run == run {
+			n.whileRunning(0, do)
+		}
+	}
+}
+
 func (n *node) everyWhileRunning(interval time.Duration, do func()) {
 	do()
 	n.whileRunning(interval, func() { n.everyWhileRunning(interval, do) })
@@ -155,7 +167,7 @@
 func (n *node) step() {
 	state := follow.State{Revision: n.directory.Revision()}
 	if peer, found := n.peers.Upstream(n.now(), follow.MaxPeerAge(contactBound)); found {
-		state.Upstream = peer.Control
+		state.Upstream, state.UpstreamAge = peer.Control, peer.Age(n.now())
 	}
 	if peer, found := n.peers.Freshest(n.now(), state.Revision); found {
 		state.Freshest = peer.Control
@@ -187,8 +199,9 @@
 		}
 		n.listPage(follow.NewListing(n.now(), known), &directory.Listing{}, 0, end)
 	case follow.WatchStore:
+		answer := n.toThisRun()
 		n.world.store.watch(n, state.Revision, call.Wait, func(changes *directory.Changes, err error) {
-			n.whileRunning(0, func() { n.changed(changes, 0, err, end) })
+			answer(func() { n.changed(changes, 0, err, end) })
 		})
 	case follow.AskPeer:
 		n.askPeer(call, end)
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -16,9 +16,10 @@
 		return
 	}
 	after, base := n.directory.Revision(), n.directory.SettingsRevision()
+	toAsker := n.toThisRun()
 	n.world.After(n.world.delay(n.zone, peer.zone), func() {
 		peer.whileRunning(0, func() {
-			peer.whenChanged(after, call.Wait, func() { n.world.After(n.world.delay(n.zone, peer.zone), peer.answerFor(n, after, base, end)) })
+			peer.whenChanged(after, call.Wait, func() { n.world.After(n.world.delay(n.zone, peer.zone), peer.answerFor(n, toAsker, after, base, end)) })
 		})
 	})
 }
@@ -41,12 +42,12 @@
 }
 
 // answerFor collects what another balancer lacks and hands it over.
-func (n *node) answerFor(asker *node, after, base uint64, end func(follow.Outcome)) func() {
+func (n *node) answerFor(asker *node, toAsker func(do func()), after, base uint64, end func(follow.Outcome)) func() {
 	age := n.confirmed.Age(n.now())
 	changes, known := n.directory.Since(after, base)
 	listing := n.directory.Listing()
 	return func() {
-		asker.whileRunning(0, func() {
+		toAsker(func() {
 			asker.peers.Answered(asker.now(), n.control, age, listing.Revision)
 			if known {
 				asker.changed(changes, age, nil, end)
@@ -120,11 +121,11 @@
 		return
 	}
 	n.learned = true
-	peer := n.world.nodeAt(hello.Control)
+	peer, toAsker := n.world.nodeAt(hello.Control), n.toThisRun()
 	n.world.After(n.world.delay(n.zone, peer.zone), func() {
 		peer.whileRunning(0, func() {
 			listing, age := peer.directory.Listing(), peer.confirmed.Age(peer.now())
-			n.world.After(n.world.delay(n.zone, peer.zone), func() { n.whileRunning(0, func() { n.replace(listing, age) }) })
+			n.world.After(n.world.delay(n.zone, peer.zone), func() { toAsker(func() { n.replace(listing, age) }) })
 		})
 	})
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -32,10 +32,11 @@
 	TransferTimeout = 3 * time.Second
 	// changesSlack is how much later than asked for the store's answer may come.
 	changesSlack = 500 * time.Millisecond
-	// peerWait is how long a balancer waits for changes at another one, and
-	// peerSlack how much later the answer may come.
-	peerWait  = time.Second
-	peerSlack = 300 * time.Millisecond
+	// peerWait is the longest and minPeerWait the shortest that a balancer waits for changes
+	// at another one, and peerSlack how much later the answer may come.
+	peerWait    = time.Second
+	minPeerWait = 100 * time.Millisecond
+	peerSlack   = 300 * time.Millisecond
 	// narrowLink is the bandwidth below which a whole configuration takes long, in
 	// Mbit/s, and narrowPause how long a balancer behind such a link leaves the store
 	// to others when it starts; the driver varies it by half.
@@ -48,8 +49,10 @@
 	// read together.
 	gatherTime = 150 * time.Millisecond
 	// storeWaitPart and peerAgePart divide the contact bound: how long the store
-	// is waited for, and how old what another balancer tells may be. Together with
-	// one more call they stay below the bounds of configuration and draining.
+	// is waited for, and how old what another balancer tells may be. A call there ends
+	// before its word is older, so that a balancer which heard nothing from its source asks
+	// the store peerSlack after that age at the latest: below the bounds of configuration
+	// and draining.
 	storeWaitPart = 4
 	peerAgePart   = 2.5
 )
@@ -92,6 +95,8 @@
 	// Upstream is the balancer to follow, Freshest one with a newer revision;
 	// invalid where there is none.
 	Upstream, Freshest netip.AddrPort
+	// UpstreamAge is how long ago the store confirmed what Upstream believes.
+	UpstreamAge time.Duration
 }
 
 // Result is how a call ended.
@@ -193,7 +198,8 @@
 		return call
 	}
 	if state.Upstream.IsValid() && state.Revision > 0 && !f.storeTurn {
-		return Call{Kind: AskPeer, Peer: state.Upstream, Wait: peerWait, Timeout: peerWait + peerSlack}
+		wait := min(max(MaxPeerAge(f.contactBound)-state.UpstreamAge, minPeerWait), peerWait)
+		return Call{Kind: AskPeer, Peer: state.Upstream, Wait: wait, Timeout: wait + peerSlack}
 	}
 	f.storeTurn = false
 	if f.historyLost || state.Revision == 0 {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -42,6 +42,21 @@
 	step(t, f, state, WatchStore, Outcome{})
 }
 
+// TestACallAtAnotherEndsBeforeItsWordIsTooOld, so that a source which falls silent costs no
+// more than its age and one short wait.
+func TestACallAtAnotherEndsBeforeItsWordIsTooOld(t *testing.T) {
+	for _, test := range []struct{ age, wait time.Duration }{
+		{0, peerWait},
+		{MaxPeerAge(bound) - 400*time.Millisecond, 400 * time.Millisecond},
+		{MaxPeerAge(bound), minPeerWait},
+	} {
+		call := New(bound, 0).Next(State{Revision: 5, Upstream: upstream, UpstreamAge: test.age})
+		if call.Kind != AskPeer || call.Wait != test.wait || call.Timeout != test.wait+peerSlack {
+			t.Errorf("age %v: %+v, want a wait of %v", test.age, call, test.wait)
+		}
+	}
+}
+
 func TestLostHistoryIsListedAnew(t *testing.T) {
 	f := New(bound, 0)
 	state := State{Revision: 5}
