--- /dev/null
+++ b/bench/bound/bound_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// testSite has one kind of request on long flows and one that opens a flow for each.
+func testSite() *Site {
+	site := &Site{}
+	site.Bounds.TouchMs = 4000
+	site.Classes = []Class{
+		{Name: "feed", AimMs: 150, DeadlineMs: 1200, Worth: 1, LateWorth: 0.3, Retries: 2},
+		{Name: "edit", AimMs: 150, DeadlineMs: 1500, Worth: 2, LateWorth: 0.6, Retries: 2, Habit: "fresh"},
+	}
+	for i := range site.Classes {
+		site.Classes[i].WorkMs.Mean = 10
+	}
+	return site
+}
+
+// testReport is a day of eight seconds with two zones of two balancers each.
+func testReport(events []Event, out map[string]string) *Report {
+	report := &Report{
+		Worth:   0.9,
+		Parts:   []Part{{partDay, 0.4, 0.95}, {partWindows, 0.1, 0.9}, {partClass, 0.3, 0.95}, {partZone, 0.2, 0.95}},
+		Prices:  []Price{{priceMachines, 100, 0.01}, {priceHandshake, 400, 0.004}, {"cloud calls", 100, 0.001}},
+		Classes: []Tally{{Name: "feed", Count: 600, Worth: 0.95}, {Name: "edit", Count: 200, Worth: 0.95}},
+		Zones:   []Tally{{Name: "a", Count: 400, Worth: 0.95}, {Name: "b", Count: 400, Worth: 0.95}},
+		Events:  events,
+	}
+	for _, name := range []string{"0", "2", "4", "6"} {
+		report.Windows = append(report.Windows, Tally{Name: name, Count: 200, Worth: 0.95})
+	}
+	report.Touch.Out = out
+	return report
+}
+
+func quietMachines() map[string]string {
+	return map[string]string{"front-a-1": "", "front-a-2": "", "front-b-1": "", "front-b-2": ""}
+}
+
+func mustBound(t *testing.T, report *Report) *result {
+	t.Helper()
+	got, err := bound(testSite(), report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+func TestACalmDayCanEarnAllButPrices(t *testing.T) {
+	got := mustBound(t, testReport(nil, quietMachines()))
+	// Machines, and a connection for each of the 200 edits out of 400 connections.
+	if want := 1 - 0.01 - 0.002; math.Abs(got.worth-want) > 1e-9 {
+		t.Errorf("bound %v, want %v", got.worth, want)
+	}
+	if day := got.day(); math.Abs(day.owed-1000) > 1e-6 || math.Abs(day.avoidable()-50) > 1e-6 {
+		t.Errorf("owed %v, avoidable %v; want 1000 and 50", day.owed, day.avoidable())
+	}
+}
+
+// TestAllBalancersDownLoseWhatCannotWait: all are down from 2.0 to 3.0 s.
+func TestAllBalancersDownLoseWhatCannotWait(t *testing.T) {
+	out := quietMachines()
+	for machine := range out {
+		out[machine] = "2.000 to 7.000"
+	}
+	got := mustBound(t, testReport([]Event{{At: 2, To: 8, Kind: "closing (kill_all)", What: "front-a-1 and 3 more"}}, out))
+	feed, edit := &got.classes[0], &got.classes[1]
+	// Sent again after 0.2 and 0.6 s, and after 1.4 s, which is past the deadline: what begins
+	// in the first 0.4 s fails, what begins in the next 0.6 s is late.
+	if want := 600.0 - 75*(0.4+0.6*0.7); math.Abs(feed.bound-want) > 1 {
+		t.Errorf("feed %v, want %v", feed.bound, want)
+	}
+	// An edit opens another flow after 1.4 s and is late then.
+	if want := 2 * (200.0 - 25*(1.0*0.7)); math.Abs(edit.bound-want) > 1 {
+		t.Errorf("edit %v, want %v", edit.bound, want)
+	}
+	if w := &got.windows[0]; w.bound != w.owed {
+		t.Errorf("window before: bound %v of %v", w.bound, w.owed)
+	}
+}
+
+// TestADeadBalancerCostsItsShareUntilItIsLeftOut: one of two is down for long; routers need
+// half a second at the least.
+func TestADeadBalancerCostsItsShareUntilItIsLeftOut(t *testing.T) {
+	out := quietMachines()
+	out["front-a-1"] = "2.000 to 12.000"
+	got := mustBound(t, testReport([]Event{{At: 2, To: 8, Kind: "node_kill (power)", What: "front-a-1"}}, out))
+	// In the half second half of the flows of zone a are late: 0.2 s are over before the
+	// packet that arrives.
+	if want := 600.0 - 75*0.5*0.5*0.5*0.7; math.Abs(got.classes[0].bound-want) > 0.5 {
+		t.Errorf("feed %v, want %v", got.classes[0].bound, want)
+	}
+	if b := &got.zones[1]; b.bound != b.owed {
+		t.Errorf("the other zone has %v of %v", b.bound, b.owed)
+	}
+}
+
+func TestOtherDisturbancesCostNothing(t *testing.T) {
+	out := quietMachines()
+	out["front-a-1"] = "2.000 to 9.000"
+	events := []Event{
+		{At: 2, To: 3, Kind: "roll_term", What: "front-a-1"},
+		{At: 2, To: 5, Kind: "node_cut", What: "front-a-1"},
+		{At: 2, To: 3, Kind: "node_kill", What: "front-b-1"},
+	}
+	// The killed one was in touch all the time, so that the kill did not happen.
+	if got := mustBound(t, testReport(events, out)); got.day().bound != got.day().owed {
+		t.Errorf("bound %v of %v", got.day().bound, got.day().owed)
+	}
+}
+
+func TestBestCredit(t *testing.T) {
+	site := testSite()
+	feed, edit := &site.Classes[0], &site.Classes[1]
+	for _, test := range []struct {
+		class   *Class
+		reached time.Duration
+		want    float64
+	}{
+		{feed, 0, 1},
+		{feed, 100 * time.Millisecond, 0.3},
+		{feed, 601 * time.Millisecond, 0},
+		{edit, 601 * time.Millisecond, 0.3},
+		{edit, 1401 * time.Millisecond, 0},
+	} {
+		if got := site.bestCredit(test.class, test.reached); math.Abs(got-test.want) > 1e-9 {
+			t.Errorf("%s reached after %v: %v, want %v", test.class.Name, test.reached, got, test.want)
+		}
+	}
+}
+
+func TestWorkWithin(t *testing.T) {
+	class := &Class{}
+	class.WorkMs.Mean, class.WorkMs.Spread = 40, 0.5
+	median := 40 * math.Exp(-0.125)
+	if got := class.workWithin(milliseconds(median)); math.Abs(got-0.5) > 0.001 {
+		t.Errorf("%v of the work within the median", got)
+	}
+	if class.workWithin(0) != 0 || class.workWithin(time.Second) < 0.999 {
+		t.Error("work takes between nothing and a second")
+	}
+}
+
+// TestFilesAreRead plays the command on files as the bench writes them.
+func TestFilesAreRead(t *testing.T) {
+	folder := t.TempDir()
+	site := filepath.Join(folder, "site.toml")
+	write(t, site, []byte(`
+classes = [ { name = "feed", aim_ms = 150, deadline_ms = 1200.0, worth = 1, late_worth = 0.3, retries = 2, work_ms = { mean = 10.0, spread = 0.5 } } ]
+[net]
+client_ms = 3.0
+[bounds]
+touch_ms = 4000
+`))
+	report := filepath.Join(folder, "report.json")
+	data, err := json.Marshal(map[string]any{
+		"G": 0.98, "parts": []any{[]any{"whole day", 1.0, 0.99}}, "prices": []any{[]any{"machine-seconds", 10.0, 0.01}},
+		"classes": []any{map[string]any{"name": "feed", "n": 10, "worth": 0.99}},
+		"zones":   []any{map[string]any{"name": "a", "n": 10, "worth": 0.99}},
+		"windows": []any{map[string]any{"name": "0", "n": 10, "worth": 0.99}},
+		"touch":   map[string]any{"out": map[string]string{"front-a-1": "-10.000 to 1.500"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, report, data)
+	var out bytes.Buffer
+	if err := run([]string{site, report}, &out); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(out.String(), "worth 0.9800, bound 0.9900, below it by 0.0100") {
+		t.Errorf("printed %s", out.String())
+	}
+}
+
+func TestBadFilesAreRefused(t *testing.T) {
+	folder := t.TempDir()
+	empty := filepath.Join(folder, "empty")
+	write(t, empty, nil)
+	for _, args := range [][]string{{}, {empty, empty}, {filepath.Join(folder, "none"), empty}} {
+		if err := run(args, &bytes.Buffer{}); err == nil {
+			t.Errorf("%v: no error", args)
+		}
+	}
+	report := testReport(nil, map[string]string{"front-a-1": "early to late"})
+	if _, err := bound(testSite(), report); err == nil {
+		t.Error("a span without numbers is taken")
+	}
+	report = testReport(nil, quietMachines())
+	report.Classes[0].Name = "other"
+	if _, err := bound(testSite(), report); err == nil {
+		t.Error("a class that the site does not have is taken")
+	}
+}
+
+func write(t *testing.T, name string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(name, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/bench/variant/main.go
+++ b/bench/variant/main.go
@@ -38,7 +38,9 @@
 	// One machine in each zone.
 	"sparse": {{`(zone = "[^"]+"), count = [0-9]+, spare = [0-9]+`, `$1, count = 1, spare = 1`}},
 	// Servers with a short queue that shed early, and start cold for long.
-	"tight": {{`queue = 8`, `queue = 1`}, {`cold_s = [0-9.]+`, `cold_s = 8.0`}, {`cold_x = [0-9.]+`, `cold_x = 3.0`}},
+	"tight": {{`queue = [0-9]+`, `queue = 1`}, {`cold_s = [0-9.]+`, `cold_s = 8.0`}, {`cold_x = [0-9.]+`, `cold_x = 3.0`}},
+	// Servers with two slots that start cold for long: most slots are in use on each day.
+	"lean": {{`slots = [0-9]+`, `slots = 2`}, {`cold_s = [0-9.]+`, `cold_s = 5.0`}, {`cold_x = [0-9.]+`, `cold_x = 2.5`}},
 	// A store that allows few calls and answers slowly.
 	"scarce": {{`(?m)^writes_per_s = .*$`, `writes_per_s = 10.0`}, {`(?m)^reads_per_s = .*$`, `reads_per_s = 25.0`}},
 	// More servers than the store lists at once.
