--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -32,6 +32,9 @@
 			return ctx.Err()
 		case <-n.stop:
 			pause(ctx, peers.HelloInterval)
+		case <-n.alarms:
+			n.sendAlarm()
+			continue
 		case <-n.news:
 		case <-timer.C:
 		}
@@ -67,6 +70,22 @@
 	return interval
 }
 
+// sendAlarm tells all live peers at once what is known of silent back ends. Rounds go on as
+// they were due.
+func (n *Node) sendAlarm() {
+	n.beliefs.Lock()
+	now := n.now()
+	hello, targets := n.hello(now), n.peers.Everyone(now)
+	n.steering.Lock()
+	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
+	hello.Stalls = n.steerer.Stalls(now, peers.MaxStalls)
+	n.steering.Unlock()
+	n.beliefs.Unlock()
+	for _, target := range targets {
+		n.sendHello(hello, target.Control)
+	}
+}
+
 // announce sends a round of hellos at once: this balancer knows something since now.
 func (n *Node) announce() {
 	select {
@@ -107,6 +126,7 @@
 	n.steerer.SetPlace(steering.Place{Index: index, Count: count, Fleet: fleet})
 	hello.Others, hello.Full = n.peers.Sample(now), true
 	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
+	hello.Stalls = n.steerer.Stalls(now, peers.MaxStalls)
 	for _, load := range n.steerer.RecentLoad(peers.MaxLoads) {
 		hello.Loads = append(hello.Loads, peers.Load{Tag: directory.TagOf(load.Backend), Units: uint32(load.Recent / peers.LoadUnit)})
 	}
@@ -179,6 +199,7 @@
 	n.steering.Lock()
 	n.steerer.SetOthersDoubts(now, hello.Doubted)
 	n.steering.Unlock()
+	n.heardStalls(now, hello)
 	if isNew {
 		n.log.Info("peer found", "peer", hello.Control, "zone", hello.Zone, "revision", hello.Revision, "age_ms", hello.StoreAge.Milliseconds())
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -88,8 +88,9 @@
 	overtaken atomic.Bool
 	// receiving is set once the answer to that call has begun to arrive.
 	receiving atomic.Bool
-	// news asks for a round of hellos at once.
-	news chan struct{}
+	// news asks for a round of hellos at once, and alarms for what is known of silent back
+	// ends to be told to all others.
+	news, alarms chan struct{}
 	// followers counts the balancers that are being served.
 	followers atomic.Int64
 	// listings counts those that are being told everything.
@@ -136,6 +137,7 @@
 		steerer:    steering.New(steeringConfig(&config)),
 		stop:       make(chan struct{}),
 		news:       make(chan struct{}, 1),
+		alarms:     make(chan struct{}, 1),
 	}
 	n.current.Store(&config)
 	n.metrics = newMetrics(n)
@@ -283,18 +285,16 @@
 	}
 	n.steering.Lock()
 	verdict := n.steerer.Steer(now, packet)
-	events := n.steerer.TakeEvents()
+	seen := n.takeObservations()
 	n.steering.Unlock()
-	if events != nil {
-		n.logObservations(now, events)
-	}
+	n.actOn(now, &seen, answer)
 	switch verdict.Action {
 	case steering.Forward:
 		n.metrics.forwarded.Inc()
 		n.send(n.adapter.Codec.Forward(buffer, verdict.Backend), verdict.Backend.Address)
 	case steering.Refuse:
 		n.metrics.refused[verdict.Reason].Inc()
-		n.send(n.adapter.Codec.Refusal(answer, datagram), n.adapter.deliverTo(packet.Flow.Caller.Addr()))
+		n.refuse(answer, packet.Flow, packet.Acknowledged)
 	case steering.Drop:
 		if holds(&verdict) && n.holding.keep(now, datagram) {
 			return
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"gaugeyard/internal/directory"
+	"gaugeyard/internal/flow"
 	"gaugeyard/internal/steering"
 )
 
@@ -32,9 +33,10 @@
 	// Forward turns the datagram at buffer[Headroom():] into the one for the back
 	// end, in place, and returns it.
 	Forward(buffer []byte, backend *directory.Member) []byte
-	// Refusal returns the datagram that tells the caller of an opening packet that
-	// its flow does not open, written into buffer.
-	Refusal(buffer, datagram []byte) []byte
+	// Refusal returns the datagram that tells a caller that its flow does not open, or is
+	// ended, written into buffer. acknowledged is the caller's position in what it received, 0
+	// while the flow is not open.
+	Refusal(buffer []byte, key flow.Key, acknowledged uint32) []byte
 }
 
 // Source is where the desired state is read.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -126,6 +126,7 @@
 	}{
 		{"departed back ends are remembered", "restart-and-release-quiet", Without{Departed: true}, func(a, b Result) bool { return b.InAim < a.InAim-0.005 }},
 		{"silent back ends are suspected", "servers-hang", Without{Suspicion: true}, func(a, b Result) bool { return b.InAim < a.InAim }},
+		{"flows at lost back ends are reset", "servers-hang", Without{Resets: true}, func(a, b Result) bool { return 2*a.Failed < b.Failed }},
 		{"back ends that leave requests unanswered get fewer flows", "servers-grey-reset", Without{Faults: true}, func(a, b Result) bool { return 2*a.Failed < b.Failed }},
 		{"back ends that leave requests unanswered get fewer flows", "servers-grey-mute", Without{Faults: true}, func(a, b Result) bool { return 2*a.Failed < b.Failed }},
 		{"balancers learn from each other", "start-in-outage", Without{Peers: true}, func(a, b Result) bool { return b.InAim < a.InAim }},
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gaugeyard/internal/directory"
+	"gaugeyard/internal/errkind"
 	"gaugeyard/internal/follow"
 	"gaugeyard/internal/peers"
 	"gaugeyard/internal/steering"
@@ -95,6 +96,7 @@
 			NoPins:       w.options.Without.Pins,
 			NoSuspicion:  w.options.Without.Suspicion,
 			NoFaults:     w.options.Without.Faults,
+			NoResets:     w.options.Without.Resets,
 			NoLoad:       w.options.Without.Load,
 			NoStandstill: w.options.Without.Standstill,
 		},
@@ -289,6 +291,7 @@
 func (n *node) handle(d *datagram) {
 	packet := d.Packet
 	verdict := n.steerer.Steer(n.now(), &packet)
+	n.actOnObservations()
 	n.world.trace(d.client, "balancer %s: kind %d attempt %d tag %08x: action %d reason %v to %v", n.control, packet.Kind, packet.Attempt, uint32(packet.Tag), verdict.Action, verdict.Reason, verdictServer(&verdict))
 	switch verdict.Action {
 	case steering.Drop:
@@ -296,7 +299,9 @@
 			n.held = append(n.held, d)
 		}
 	case steering.Refuse:
-		n.world.truth.refused(n, d)
+		if verdict.Reason != errkind.BackendLost {
+			n.world.truth.refused(n, d)
+		}
 		n.world.send(n.zone, "", func() { d.client.reset(nil) })
 	case steering.Forward:
 		backend := verdict.Backend
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -83,6 +83,7 @@
 		Revision: n.directory.Revision(), StoreAge: n.confirmed.Age(now), Others: n.peers.Sample(now), Reply: target.Reply, Full: true,
 	}
 	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
+	hello.Stalls = n.steerer.Stalls(now, peers.MaxStalls)
 	for _, load := range n.steerer.RecentLoad(peers.MaxLoads) {
 		hello.Loads = append(hello.Loads, peers.Load{Tag: directory.TagOf(load.Backend), Units: uint32(load.Recent / peers.LoadUnit)})
 	}
@@ -97,10 +98,24 @@
 	n.world.send(n.zone, peer.zone, func() { peer.whileRunning(0, func() { peer.heardHello(hello) }) })
 }
 
+// actOnObservations ends flows at lost back ends and tells other balancers of silent ones.
+func (n *node) actOnObservations() {
+	for _, reset := range n.steerer.TakeResets() {
+		if c := n.world.clients[reset.Flow]; c != nil {
+			n.world.send(n.zone, "", func() { c.reset(nil) })
+		}
+	}
+	if n.steerer.TakeAlarm() {
+		for _, target := range n.peers.Everyone(n.now()) {
+			n.helloTo(target)
+		}
+	}
+}
+
 // helloSize is about how many bytes a hello has on the wire.
 func helloSize(hello *peers.Hello) int {
-	const head, introduction, load, doubt = 60, 24, 8, 9
-	return head + introduction*len(hello.Others) + load*len(hello.Loads) + doubt*len(hello.Doubted)
+	const head, introduction, load, doubt, stall = 60, 24, 8, 9, 14
+	return head + introduction*len(hello.Others) + load*len(hello.Loads) + doubt*len(hello.Doubted) + stall*len(hello.Stalls)
 }
 
 func (n *node) heardHello(hello *peers.Hello) {
@@ -108,6 +123,8 @@
 		return
 	}
 	n.steerer.SetOthersDoubts(n.now(), hello.Doubted)
+	n.steerer.HearStalls(n.now(), hello.Control, hello.Stalls)
+	n.actOnObservations()
 	if n.lag.Note(n.now(), n.directory.Revision(), hello.Revision) && n.giveUp != nil {
 		n.giveUp(follow.Outcome{Result: follow.Overtaken})
 	}
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -88,6 +88,9 @@
 func (o *operator) add(tree settings.Tree, r route, groups ...group) {
 	path := settings.Path(r.name)
 	mustSet(tree, path, settings.KeyAddress, r.address.String())
+	if r == routeFeed {
+		mustSet(tree, path, settings.KeyRepeatable, "true")
+	}
 	tree[path.Child("any")] = settings.Values{}
 	for i, part := range groups {
 		place := path.Child("any").Child(strconv.Itoa(i))
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -45,6 +45,8 @@
 	Suspicion bool
 	// Faults places new flows as if no request had been left unanswered.
 	Faults bool
+	// Resets leaves flows at back ends that are lost.
+	Resets bool
 	// Load places by hash alone.
 	Load bool
 	// Standstill forwards opening packets that waited while a balancer stood still.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -51,6 +51,8 @@
 	UnknownTag
 	// Stale is an opening packet that waited too long here while the process stood still.
 	Stale
+	// BackendLost is a request on an established flow whose back end answers nobody any more.
+	BackendLost
 	// Unexpected is a well-formed packet that a caller never sends.
 	Unexpected
 
@@ -120,6 +122,7 @@
 	NotReady:         {"not_ready", Silent, RanNotTold, false},
 	UnknownTag:       {"unknown_tag", Silent, RanNotTold, false},
 	Stale:            {"stale", Silent, RanNotTold, false},
+	BackendLost:      {"backend_lost", Timeout, RanUnknown, true},
 	Unexpected:       {"unexpected", Silent, RanNotTold, false},
 }
 
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -6,6 +6,7 @@
 
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/settings"
+	"gaugeyard/internal/steering"
 )
 
 // Hello is what balancers tell each other, in a datagram.
@@ -31,6 +32,8 @@
 	Loads []Load
 	// Doubted are back ends that the sender found silent.
 	Doubted []settings.BackendID
+	// Stalls are back ends that leave callers without a sign of life, here or at others.
+	Stalls []steering.Stall
 	// Full is set when the hello has loads and names others. Those that have not tell
 	// what changes quickly in few bytes.
 	Full bool
--- a/internal/peers/round.go
+++ b/internal/peers/round.go
@@ -32,6 +32,8 @@
 	MaxLoads = 32
 	// MaxDoubted is how many doubted back ends a hello names.
 	MaxDoubted = 16
+	// MaxStalls is how many silent back ends a hello names.
+	MaxStalls = 8
 	// LoadUnit is what one unit of a Load stands for, in requests.
 	LoadUnit = 1.0 / 16
 	// loadLife is how long what a peer says of its load counts, and loadDecay what of it
@@ -76,6 +78,16 @@
 	return targets
 }
 
+// Everyone returns all live peers: what cannot wait goes to each of them at once.
+func (t *Table) Everyone(now time.Duration) []Target {
+	alive := t.Alive(now)
+	targets := make([]Target, 0, len(alive))
+	for _, peer := range alive {
+		targets = append(targets, Target{Control: peer.Control})
+	}
+	return targets
+}
+
 // fullEvery returns of how many hellos one is full.
 func fullEvery(targets, loads int) int {
 	bytes := float64(targets) / HelloInterval.Seconds() * float64(helloBytes+loadBytes*loads)
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"net/netip"
 	"time"
 
 	"gaugeyard/internal/directory"
@@ -48,6 +49,8 @@
 	Doubted Observation = "back end doubted"
 	// Suspected back ends left several callers without an answer.
 	Suspected Observation = "back end suspected"
+	// Lost back ends answer nobody any more; flows that can be repeated elsewhere are reset.
+	Lost Observation = "back end lost"
 	// Faulty back ends take new flows and leave requests unanswered.
 	Faulty Observation = "back end leaves requests unanswered"
 	// Answers means that a doubted or suspected back end showed a sign of life.
@@ -104,6 +107,12 @@
 	doubtUntil, doubt time.Duration
 	// heardDoubtUntil ends the doubt that another balancer spoke of.
 	heardDoubtUntil time.Duration
+	// stalled are the callers that sent data again in vain since the last sign of life, stalls
+	// what other balancers told of theirs, and lostUntil ends the time in which the back end counts
+	// as lost.
+	stalled   []netip.Addr
+	stalls    []heardStall
+	lostUntil time.Duration
 	// suspectUntil ends the present suspicion; suspicion is how long it was.
 	suspectUntil, suspicion time.Duration
 }
@@ -161,11 +170,12 @@
 
 // noteProgress clears what spoke against the back end.
 func (b *backendState) noteProgress(now time.Duration) {
-	if b.doubt > 0 || b.suspicion > 0 {
+	if b.doubt > 0 || b.suspicion > 0 || b.lostUntil > 0 {
 		b.note(Answers, now-b.progress, 0)
 	}
 	b.progress = now
 	b.silent = 0
+	b.stalled, b.lostUntil = b.stalled[:0], 0
 	b.suspectUntil, b.suspicion = 0, 0
 	b.askedAt, b.doubtUntil, b.doubt, b.heardDoubtUntil = 0, 0, 0, 0
 }
--- /dev/null
+++ b/internal/steering/lost.go
@@ -0,0 +1,212 @@
+package steering
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"gaugeyard/internal/flow"
+	"gaugeyard/internal/settings"
+)
+
+const (
+	// lostCallers is how many different callers must have sent data again in vain, over all
+	// balancers and since anyone saw a sign of life, before a back end counts as lost. A sound
+	// one acknowledges data at once, also where its queue is long: with one packet in ten lost on
+	// its way, four in a row are one in ten thousand.
+	lostCallers = 4
+	// lostSilence is how long nobody may have seen a sign of life of it by then.
+	lostSilence = 300 * time.Millisecond
+	// lostTime is how long it counts as lost, unless it shows a sign of life. After that the
+	// packets of flows that are left there try it again.
+	lostTime = 2 * time.Second
+	// stallLife is how long what another balancer told of a back end counts.
+	stallLife = 700 * time.Millisecond
+	// maxStalled bounds the callers that are told apart at a back end, and maxStalls the
+	// balancers whose words on it are kept.
+	maxStalled = 8
+	maxStalls  = 32
+	// alarmInterval is the shortest time between two alarms.
+	alarmInterval = 100 * time.Millisecond
+	// livelyTime is how recent signs of life of other back ends must be to show that it is not
+	// this balancer that is cut off.
+	livelyTime = 500 * time.Millisecond
+)
+
+// Stall is what one balancer knows of a back end that leaves callers without a sign of life.
+type Stall struct {
+	Backend settings.BackendID
+	// Callers is how many different callers have sent data again in vain since the last sign
+	// of life that this balancer saw; 0 from one that contradicts others.
+	Callers int
+	// Silence is how long ago that sign of life was.
+	Silence time.Duration
+}
+
+// Reset is an established flow that is ended because its back end is lost.
+type Reset struct {
+	Flow flow.Key
+	// Acknowledged is the caller's position in what it received, from which on it takes a reset.
+	Acknowledged uint32
+	Backend      settings.BackendID
+}
+
+// heardStall is a Stall that another balancer told.
+type heardStall struct {
+	from    netip.AddrPort
+	callers int
+	// alive is when the other one last saw a sign of life, by the own clock, and at when it
+	// was told.
+	alive, at time.Duration
+}
+
+// noteStall notes that a caller has sent data again in vain.
+func (s *Steerer) noteStall(now time.Duration, known *record) {
+	b := known.backend
+	if b.progress >= known.askedAt || s.config.Mechanisms.NoResets {
+		return
+	}
+	caller := known.key.Caller.Addr()
+	if len(b.stalled) >= maxStalled || slices.Contains(b.stalled, caller) {
+		return
+	}
+	b.stalled = append(b.stalled, caller)
+	s.raise(now)
+}
+
+// raise asks the driver to tell the others at once, not too often.
+func (s *Steerer) raise(now time.Duration) {
+	if now-s.raised >= alarmInterval {
+		s.raised, s.alarm = now, true
+	}
+}
+
+// TakeAlarm tells, once, that other balancers should hear of Stalls at once.
+func (s *Steerer) TakeAlarm() bool {
+	alarm := s.alarm
+	s.alarm = false
+	return alarm
+}
+
+// Stalls returns what this balancer knows of back ends that leave callers without a sign of
+// life, here or at others, at most count.
+func (s *Steerer) Stalls(now time.Duration, count int) []Stall {
+	var stalls []Stall
+	for id, b := range s.backends {
+		switch {
+		case len(stalls) >= count:
+			return stalls
+		case len(b.stalled) > 0, len(b.stalls) > 0 && now-b.progress < stallLife:
+			stalls = append(stalls, Stall{id, len(b.stalled), now - b.progress})
+		}
+	}
+	return stalls
+}
+
+// HearStalls takes over what another balancer told of back ends. If this one knows better, it
+// raises an alarm in turn.
+func (s *Steerer) HearStalls(now time.Duration, from netip.AddrPort, stalls []Stall) {
+	if now-s.resumed < resumeTime || s.config.Mechanisms.NoResets {
+		// It waited while the process stood still.
+		return
+	}
+	for _, stall := range stalls {
+		b := s.backends[stall.Backend]
+		if b == nil {
+			continue
+		}
+		b.hearStall(heardStall{from, stall.Callers, now - stall.Silence, now})
+		if stall.Callers > 0 && now-b.progress < stallLife {
+			s.raise(now)
+		}
+		if s.lost(now, b) {
+			s.resetWaiting(b)
+		}
+	}
+}
+
+func (b *backendState) hearStall(heard heardStall) {
+	at := slices.IndexFunc(b.stalls, func(h heardStall) bool { return h.from == heard.from })
+	switch {
+	case at >= 0:
+		b.stalls[at] = heard
+	case len(b.stalls) < maxStalls:
+		b.stalls = append(b.stalls, heard)
+	}
+}
+
+// lost tells whether a back end does not answer anyone any more: several callers have sent
+// data again in vain, here and at other balancers, and none of them saw a sign of life.
+func (s *Steerer) lost(now time.Duration, b *backendState) bool {
+	if now < b.lostUntil {
+		return true
+	}
+	if len(b.stalled) == 0 && len(b.stalls) == 0 || now-b.progress < lostSilence {
+		return false
+	}
+	b.stalls = slices.DeleteFunc(b.stalls, func(h heardStall) bool { return now-h.at > stallLife })
+	callers := len(b.stalled)
+	for _, heard := range b.stalls {
+		if now-heard.alive < lostSilence {
+			return false
+		}
+		callers += heard.callers
+	}
+	if callers < lostCallers || s.cutOff(now) {
+		return false
+	}
+	b.lostUntil = now + lostTime
+	b.note(Lost, now-b.progress, b.lostUntil)
+	return true
+}
+
+// cutOff tells whether as many back ends are silent here as show signs of life: then it may
+// well be this balancer that does not reach them.
+func (s *Steerer) cutOff(now time.Duration) bool {
+	silent, lively := 0, 0
+	for _, b := range s.backends {
+		switch {
+		case len(b.stalled) > 0 || now < b.lostUntil:
+			silent++
+		case now-b.progress < livelyTime:
+			lively++
+		}
+	}
+	return silent >= lively
+}
+
+// resetWaiting ends the flows at a lost back end whose callers await an answer and may ask again.
+func (s *Steerer) resetWaiting(b *backendState) {
+	for _, known := range s.awaited.records {
+		if known.backend != b || !known.waiting || known.closed || !s.repeatable(known.key) {
+			continue
+		}
+		s.resets = append(s.resets, Reset{known.key, known.acknowledged, b.id})
+		s.forget(known)
+	}
+}
+
+// TakeResets returns the flows that were ended since the last call, mostly none.
+func (s *Steerer) TakeResets() []Reset {
+	if len(s.resets) == 0 {
+		return nil
+	}
+	resets := s.resets
+	s.resets = nil
+	return resets
+}
+
+// repeatable tells whether the requests of a flow may run again.
+func (s *Steerer) repeatable(key flow.Key) bool {
+	if s.view.Settings == nil {
+		return false
+	}
+	service := s.view.Settings.ServiceAt(key.Service)
+	return service != nil && service.Repeatable
+}
+
+// givesUp tells whether a request on an established flow is refused, so that its caller asks
+// elsewhere: its back end is lost, and it may run again there. Whether it ran is not known.
+func (s *Steerer) givesUp(now time.Duration, b *backendState, packet *Packet) bool {
+	return packet.Kind == Established && packet.Payload > 0 && s.lost(now, b) && s.repeatable(packet.Flow)
+}
--- /dev/null
+++ b/internal/steering/lost_test.go
@@ -0,0 +1,205 @@
+package steering
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/settings"
+)
+
+var otherBalancer = netip.MustParseAddrPort("10.0.9.1:8166")
+
+// silentFleet is a fleet whose feed may be repeated, and in which callers 0 to 19 have open
+// flows at back end 1, which has said nothing since.
+func silentFleet(t *testing.T) *fleet {
+	f := newFleet(t)
+	f.revision++
+	tree := settings.Tree{"": settings.Values{settings.KeyLoadFactor: "2"}}
+	f.route(tree, "feed", feedAddress, map[string]string{"feed": "1"})
+	f.route(tree, "split", splitAddress, map[string]string{"feed": "3", "upload": "1"})
+	if err := tree.Set("feed", settings.KeyRepeatable, "true"); err != nil {
+		t.Fatal(err)
+	}
+	f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Settings: &directory.Settings{Version: 2, Revision: f.revision, Tree: tree}})
+	f.steerer.SetView(f.directory.View())
+	for caller := range 20 {
+		f.established(caller, feedAddress, 1, 1, 0)
+	}
+	// Others are in use and well.
+	for caller := 20; caller < 60; caller++ {
+		f.opened(caller, feedAddress)
+	}
+	f.pass(time.Second)
+	f.lively()
+	return f
+}
+
+// lively lets the other back ends answer something.
+func (f *fleet) lively() {
+	for id := directory.Tag(2); id <= 6; id++ {
+		caller := 1000*int(id) + int(f.now/time.Millisecond)
+		f.established(caller, feedAddress, id, 1, 100)
+		f.established(caller, feedAddress, id, 2, 0)
+	}
+}
+
+// ask sends a caller's request, and again after 200 ms.
+func (f *fleet) askInVain(callers ...int) Verdict {
+	var verdict Verdict
+	for _, caller := range callers {
+		verdict = f.established(caller, feedAddress, 1, 1, 100)
+	}
+	f.pass(200 * time.Millisecond)
+	f.lively()
+	for _, caller := range callers {
+		verdict = f.established(caller, feedAddress, 1, 1, 100)
+	}
+	return verdict
+}
+
+// TestFlowsAtALostBackEndAreReset once several callers have asked in vain: those that wait at
+// once, others when they ask.
+func TestFlowsAtALostBackEndAreReset(t *testing.T) {
+	f := silentFleet(t)
+	if verdict := f.askInVain(0, 1, 2); verdict.Action != Forward || f.steerer.TakeResets() != nil {
+		t.Fatalf("three callers are enough: %+v", verdict)
+	}
+	f.pass(200 * time.Millisecond)
+	f.askInVain(3)
+	resets := f.steerer.TakeResets()
+	if len(resets) != 4 {
+		t.Fatalf("%d flows are reset: %+v", len(resets), resets)
+	}
+	for _, reset := range resets {
+		if reset.Acknowledged != 1 || reset.Backend != 1 || reset.Flow.Service != feedAddress {
+			t.Errorf("%+v", reset)
+		}
+	}
+	verdict := f.established(7, feedAddress, 1, 1, 100)
+	if verdict.Action != Refuse || verdict.Reason != errkind.BackendLost {
+		t.Errorf("a later request: %+v", verdict)
+	}
+	if verdict := f.established(8, feedAddress, 1, 1, 0); verdict.Action != Forward {
+		t.Errorf("a packet without a request: %+v", verdict)
+	}
+	f.established(9, splitAddress, 1, 1, 100)
+	if verdict := f.established(9, splitAddress, 1, 1, 100); verdict.Action != Forward {
+		t.Errorf("a request that may not run twice: %+v", verdict)
+	}
+}
+
+// TestASignOfLifeKeepsFlows, whether it is seen before or after callers asked in vain.
+func TestASignOfLifeKeepsFlows(t *testing.T) {
+	f := silentFleet(t)
+	f.askInVain(0, 1, 2)
+	f.established(10, feedAddress, 1, 50, 0)
+	f.pass(400 * time.Millisecond)
+	f.askInVain(3)
+	if resets := f.steerer.TakeResets(); resets != nil {
+		t.Errorf("flows are reset: %+v", resets)
+	}
+	f = silentFleet(t)
+	f.askInVain(0, 1, 2, 3, 4)
+	if f.steerer.TakeResets() == nil {
+		t.Fatal("no flow is reset")
+	}
+	f.established(10, feedAddress, 1, 50, 0)
+	if verdict := f.established(11, feedAddress, 1, 1, 100); verdict.Action != Forward {
+		t.Errorf("after an answer: %+v", verdict)
+	}
+}
+
+// TestCallersOfAllBalancersCount, each with its own.
+func TestCallersOfAllBalancersCount(t *testing.T) {
+	f := silentFleet(t)
+	f.askInVain(0)
+	if !f.steerer.TakeAlarm() {
+		t.Error("others do not hear at once that a back end is silent")
+	}
+	if stalls := f.steerer.Stalls(f.now, 8); len(stalls) != 1 || stalls[0].Backend != 1 || stalls[0].Callers != 1 || stalls[0].Silence < time.Second {
+		t.Errorf("others hear %+v", stalls)
+	}
+	f.steerer.HearStalls(f.now, otherBalancer, []Stall{{Backend: 1, Callers: 2, Silence: time.Second}})
+	f.steerer.HearStalls(f.now, otherBalancer, []Stall{{Backend: 1, Callers: 2, Silence: time.Second}})
+	if resets := f.steerer.TakeResets(); resets != nil {
+		t.Fatalf("one balancer's word counts twice: %+v", resets)
+	}
+	third := netip.AddrPortFrom(otherBalancer.Addr().Next(), otherBalancer.Port())
+	f.steerer.HearStalls(f.now, third, []Stall{{Backend: 1, Callers: 1, Silence: time.Second}})
+	if resets := f.steerer.TakeResets(); len(resets) != 1 {
+		t.Errorf("four callers at three balancers: %+v", resets)
+	}
+}
+
+// TestAnotherBalancerContradicts: it has just heard of the back end.
+func TestAnotherBalancerContradicts(t *testing.T) {
+	f := silentFleet(t)
+	f.askInVain(0, 1, 2)
+	f.steerer.HearStalls(f.now, otherBalancer, []Stall{{Backend: 1, Callers: 0, Silence: 10 * time.Millisecond}})
+	f.askInVain(3)
+	if resets := f.steerer.TakeResets(); resets != nil {
+		t.Errorf("flows are reset: %+v", resets)
+	}
+	// This one contradicts in turn, of a back end that it knows to be well.
+	f.pass(300 * time.Millisecond)
+	f.lively()
+	f.steerer.TakeAlarm()
+	f.steerer.HearStalls(f.now, otherBalancer, []Stall{{Backend: 2, Callers: 5, Silence: time.Second}})
+	if f.steerer.TakeResets() != nil || !f.steerer.TakeAlarm() {
+		t.Error("it is not told at once that a back end is well")
+	}
+	found := false
+	for _, stall := range f.steerer.Stalls(f.now, 8) {
+		found = found || stall.Backend == 2 && stall.Callers == 0 && stall.Silence < 100*time.Millisecond
+	}
+	if !found {
+		t.Errorf("others hear %+v", f.steerer.Stalls(f.now, 8))
+	}
+}
+
+// TestOneCallerIsNoEvidence: its own link may be down.
+func TestOneCallerIsNoEvidence(t *testing.T) {
+	f := silentFleet(t)
+	for range 6 {
+		f.askInVain(0)
+		f.pass(time.Second)
+	}
+	if resets := f.steerer.TakeResets(); resets != nil {
+		t.Errorf("flows are reset: %+v", resets)
+	}
+}
+
+// TestABalancerThatIsCutOffResetsNothing: all back ends are silent to it.
+func TestABalancerThatIsCutOffResetsNothing(t *testing.T) {
+	f := silentFleet(t)
+	f.pass(3 * time.Second)
+	for round := range 2 {
+		for id := directory.Tag(1); id <= 6; id++ {
+			for caller := range 6 {
+				f.established(2000+100*int(id)+caller, feedAddress, id, 2, 100)
+			}
+		}
+		if round == 0 {
+			f.pass(200 * time.Millisecond)
+		}
+	}
+	if resets := f.steerer.TakeResets(); resets != nil {
+		t.Errorf("%d flows are reset", len(resets))
+	}
+}
+
+// TestALostBackEndIsTriedAgain: what lasts for a moment must not end flows for good.
+func TestALostBackEndIsTriedAgain(t *testing.T) {
+	f := silentFleet(t)
+	f.askInVain(0, 1, 2, 3)
+	if f.steerer.TakeResets() == nil {
+		t.Fatal("no flow is reset")
+	}
+	f.pass(lostTime + time.Second)
+	if verdict := f.established(12, feedAddress, 1, 1, 100); verdict.Action != Forward {
+		t.Errorf("after a while: %+v", verdict)
+	}
+}
--- a/internal/steering/record.go
+++ b/internal/steering/record.go
@@ -96,8 +96,9 @@
 	r.backend.noteSilence(now, r.askedAt)
 }
 
-// observe learns from a packet of the caller what the back end does.
-func (r *record) observe(now time.Duration, packet *Packet) {
+// observe learns from a packet of the caller what the back end does. It tells whether the
+// caller has sent data again because the back end is silent.
+func (r *record) observe(now time.Duration, packet *Packet) (stalled bool) {
 	r.lastSeen = now
 	if r.opening {
 		r.opening = false
@@ -111,13 +112,14 @@
 		r.answered(now)
 	}
 	if packet.Payload > 0 {
-		r.request(now, packet)
+		stalled = r.request(now, packet)
 	}
 	if packet.Kind == Close && !r.closed {
 		r.closed = true
 		r.backend.flows--
 		r.giveUp()
 	}
+	return stalled
 }
 
 // giveUp ends the request that is under way, if any, without learning from it.
@@ -130,19 +132,20 @@
 }
 
 // request notes data of the caller: the begin of a request, more of one, or a
-// repetition because the back end is silent.
-func (r *record) request(now time.Duration, packet *Packet) {
+// repetition because the back end is silent, which it tells the first time.
+func (r *record) request(now time.Duration, packet *Packet) (stalled bool) {
 	end := packet.Sequence + uint32(packet.Payload)
 	if r.sequence != 0 && !advanced(end, r.sequence) {
 		if r.waiting && !r.silent && now-r.askedAt >= silenceTime {
 			r.silent = true
 			r.backend.noteSilence(now, r.askedAt)
+			return true
 		}
-		return
+		return false
 	}
 	r.sequence = end
 	if r.waiting || r.closed {
-		return
+		return false
 	}
 	r.waiting, r.unanswered = true, false
 	r.askedAt = now
@@ -150,12 +153,13 @@
 	if !r.begun {
 		// The first request was counted when the flow was placed.
 		r.begun = true
-		return
+		return false
 	}
 	r.backend.recent++
 	if r.group != nil {
 		r.group.count++
 	}
+	return false
 }
 
 // answered notes that the caller received something from the back end.
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -35,6 +35,8 @@
 	NoSuspicion bool
 	// NoFaults places new flows as if no request had been left unanswered.
 	NoFaults bool
+	// NoResets leaves flows at back ends that are lost.
+	NoResets bool
 	// NoLoad places by hash alone.
 	NoLoad bool
 	// NoStandstill forwards opening packets that waited while the process stood still.
@@ -78,6 +80,11 @@
 	pulse, resumed time.Duration
 	// lagged is when a pulse last came late.
 	lagged time.Duration
+	// resets are flows that were ended and that the driver has not taken yet; alarm is set when
+	// others should hear of stalls, and raised when it last was.
+	resets []Reset
+	alarm  bool
+	raised time.Duration
 	// awaited are the requests under way, and looked is when those without an answer
 	// were last looked for.
 	awaited awaited
@@ -257,6 +264,10 @@
 	if known == nil {
 		return s.adopt(now, packet)
 	}
+	if s.givesUp(now, known.backend, packet) {
+		s.forget(known)
+		return refuse(errkind.BackendLost)
+	}
 	verdict := Verdict{Action: Forward}
 	if known.member.Tag != packet.Tag {
 		verdict.Repinned = s.reconcile(known, packet)
@@ -278,10 +289,14 @@
 	if packet.Kind == Abort {
 		return Verdict{Action: Forward, Backend: member}
 	}
+	state := s.stateOf(member)
+	if s.givesUp(now, state, packet) {
+		return refuse(errkind.BackendLost)
+	}
 	known := &record{
 		key:      packet.Flow,
 		member:   member,
-		backend:  s.stateOf(member),
+		backend:  state,
 		begun:    true,
 		started:  now,
 		lastSeen: now,
@@ -297,7 +312,12 @@
 
 // observe learns from a packet of a flow what its back end does.
 func (s *Steerer) observe(now time.Duration, known *record, packet *Packet) {
-	known.observe(now, packet)
+	if known.observe(now, packet) {
+		s.noteStall(now, known)
+		if s.lost(now, known.backend) {
+			s.resetWaiting(known.backend)
+		}
+	}
 	if known.waiting {
 		s.awaited.add(known)
 	}
--- a/internal/steering/unanswered.go
+++ b/internal/steering/unanswered.go
@@ -26,14 +26,15 @@
 	a.records = append(a.records, known)
 }
 
-// look lets visit see each flow that still awaits an answer, and leaves out the others.
+// look lets visit see each flow that still awaits an answer and was not found without one,
+// and leaves out those that await none.
 func (a *awaited) look(visit func(known *record)) {
 	kept := a.records[:0]
 	for _, known := range a.records {
 		if known.waiting && !known.unanswered {
 			visit(known)
 		}
-		known.awaited = known.waiting && !known.unanswered
+		known.awaited = known.waiting
 		if known.awaited {
 			kept = append(kept, known)
 		}
