bench/bound counts machines that a report does not name

Change: machines come from the site file, and those added from the report. Test: TestMachinesThatWereNeverOutOfTouchCount.

--- a/bench/bound/bound_test.go
+++ b/bench/bound/bound_test.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// TestMachinesThatWereNeverOutOfTouchCount: reports do not name them.
+func TestMachinesThatWereNeverOutOfTouchCount(t *testing.T) {
+	site := testSite()
+	site.Machines = []Machines{{Class: "front", Zone: "a", Count: 4}}
+	report := testReport([]Event{{At: 2, To: 8, Kind: "node_kill (power)", What: "front-a-1"}}, map[string]string{"front-a-1": "2.000 to 12.000"})
+	got, err := bound(site, report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A quarter of the flows of zone a for half a second.
+	if want := 600.0 - 75*0.5*0.5*0.25*0.7; math.Abs(got.classes[0].bound-want) > 0.5 {
+		t.Errorf("feed %v, want %v", got.classes[0].bound, want)
+	}
+}
+
 func TestOtherDisturbancesCostNothing(t *testing.T) {
 	out := quietMachines()
 	out["front-a-1"] = "2.000 to 9.000"
--- a/bench/bound/outage.go
+++ b/bench/bound/outage.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"regexp"
 	"slices"
 	"strings"
@@ -72,7 +73,7 @@
 
 // fleet is which balancers there are and when they do not run.
 type fleet struct {
-	// machines are the balancers by zone.
+	// machines are the balancers by zone, also those that came during the day.
 	machines map[string][]string
 	downs    []down
 }
@@ -83,9 +84,14 @@
 		return nil, err
 	}
 	f := &fleet{machines: map[string][]string{}, downs: list}
+	for _, m := range site.Machines {
+		for range m.Count {
+			f.add(fmt.Sprintf("%s-%s-%d", m.Class, m.Zone, len(f.machines[m.Zone])+1))
+		}
+	}
+	// Others came during the day.
 	for machine := range report.Touch.Out {
-		zone := zoneOf(machine)
-		f.machines[zone] = append(f.machines[zone], machine)
+		f.add(machine)
 	}
 	for _, machines := range f.machines {
 		slices.Sort(machines)
@@ -93,6 +99,14 @@
 	return f, nil
 }
 
+// add adds a machine, once.
+func (f *fleet) add(machine string) {
+	zone := zoneOf(machine)
+	if !slices.Contains(f.machines[zone], machine) {
+		f.machines[zone] = append(f.machines[zone], machine)
+	}
+}
+
 // backAt returns when the machine's balancer runs again, at if it runs.
 func (f *fleet) backAt(machine string, at time.Duration) time.Duration {
 	for _, d := range f.downs {
--- a/bench/bound/site.go
+++ b/bench/bound/site.go
@@ -10,7 +10,9 @@
 // Site is what the bound needs of a site file. Times are in milliseconds, as there.
 type Site struct {
 	Classes []Class `toml:"classes"`
-	Net     struct {
+	// Machines are those that are there from the start.
+	Machines []Machines `toml:"machines"`
+	Net      struct {
 		InZoneMs float64 `toml:"in_zone_ms"`
 		ClientMs float64 `toml:"client_ms"`
 	} `toml:"net"`
@@ -20,6 +22,13 @@
 	} `toml:"bounds"`
 }
 
+// Machines are alike machines of one zone.
+type Machines struct {
+	Class string `toml:"class"`
+	Zone  string `toml:"zone"`
+	Count int    `toml:"count"`
+}
+
 // Class is a kind of request.
 type Class struct {
 	Name       string  `toml:"name"`
