--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -20,6 +20,7 @@
 	"gaugeyard/internal/codec"
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/flow"
+	"gaugeyard/internal/follow"
 	"gaugeyard/internal/fuzzinput"
 	"gaugeyard/internal/peers"
 	"gaugeyard/internal/settings"
@@ -213,7 +214,7 @@
 		t.Errorf("a node that gives no values has %v", values)
 	}
 	first.apply(&directory.Changes{Revision: 6, Gone: []directory.Gone{{ID: 9, Revision: 6}}}, "store", 0)
-	answer, err := (&peerSource{second, control}).changes(context.Background(), question{5, 1}, time.Second)
+	answer, err := (&peerSource{second, control}).changes(context.Background(), question{5, 1}, 0, time.Second)
 	if err != nil || answer.Changes == nil || answer.Listing != nil || len(answer.Changes.Gone) != 1 {
 		t.Errorf("answer %+v, %v", answer, err)
 	}
@@ -222,6 +223,40 @@
 	}
 }
 
+// TestAConfirmationPassesToFollowersAtOnce, though nothing has changed: to those that wait, and
+// to those that ask with an older one. Else each in a chain would believe what is older still.
+func TestAConfirmationPassesToFollowersAtOnce(t *testing.T) {
+	first := newTestNode(t, &fakeSource{listing: listing(t, 5)})
+	if _, err := first.listStore(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(first.controlHandler())
+	defer server.Close()
+	second := newTestNode(t, &fakeSource{})
+	source := &peerSource{second, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+	const wait = 10 * time.Second
+	ask := func(age time.Duration) (took, told time.Duration) {
+		began := time.Now()
+		answer, err := source.changes(context.Background(), question{5, 1}, age, wait)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return time.Since(began), answer.Age
+	}
+	if took, told := ask(time.Minute); took > wait/2 || told > wait/2 {
+		t.Errorf("who has an older confirmation hears of a newer one after %v: %v old", took, told)
+	}
+	// As if the last one had come long ago.
+	first.beliefs.Lock()
+	first.confirmed = follow.Confirmation{}
+	first.confirmed.Note(first.now(), time.Minute)
+	first.beliefs.Unlock()
+	time.AfterFunc(50*time.Millisecond, func() { first.apply(&directory.Changes{Revision: 5}, "store", 0) })
+	if took, told := ask(time.Minute); took > wait/2 || told > wait/2 {
+		t.Errorf("who waits hears of a newer confirmation after %v: %v old", took, told)
+	}
+}
+
 // TestALargeListingIsLeftWhenAnotherBalancerTellsFirst, and goes on when none does.
 func TestALargeListingIsLeftWhenAnotherBalancerTellsFirst(t *testing.T) {
 	lower := netip.MustParseAddrPort("127.0.0.1:2")
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -24,7 +24,7 @@
 		call := follower.Next(n.followState())
 		if call.Kind == follow.Pause {
 			pause(ctx, call.Wait/2+rand.N(call.Wait))
-			follower.Done(call, follow.Outcome{})
+			follower.Done(n.followState(), call, follow.Outcome{})
 			continue
 		}
 		n.noteSource(call)
@@ -32,7 +32,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		n.noteContact(follower.Done(call, outcome), call, err)
+		n.noteContact(follower.Done(n.followState(), call, outcome), call, err)
 	}
 	return ctx.Err()
 }
@@ -42,7 +42,7 @@
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
 	now := n.now()
-	state := follow.State{Revision: n.directory.Revision()}
+	state := follow.State{Now: now, Revision: n.directory.Revision(), Spare: n.peers.HasLower(now)}
 	if peer, found := n.peers.Upstream(now, follow.MaxPeerAge(n.config().Bounds.Contact)); found {
 		state.Upstream, state.UpstreamAge = peer.Control, peer.Age(now)
 	}
@@ -92,7 +92,8 @@
 }
 
 func (n *Node) askPeer(ctx context.Context, call follow.Call) (int, time.Duration, error) {
-	answer, err := (&peerSource{n, call.Peer}).changes(ctx, n.have(), call.Wait)
+	have, age := n.have()
+	answer, err := (&peerSource{n, call.Peer}).changes(ctx, have, age, call.Wait)
 	if errors.Is(err, errPeerFull) {
 		n.beliefs.Lock()
 		n.peers.Refused(n.now(), call.Peer)
@@ -158,6 +159,8 @@
 		n.changed.wake()
 		n.log.Warn("store lost", "revision", n.revision(), "call", call.Kind.String(), "error", err)
 	case follow.Regained:
+		// Others wait to hear of it.
+		n.announce()
 		n.log.Info("store regained", "through", n.source, "revision", n.revision(), "after_ms", (n.now() - n.lostAt).Milliseconds())
 	}
 }
@@ -191,7 +194,9 @@
 // steerBy lets packets be steered by what is believed now and tells those who
 // follow. The beliefs lock is held.
 func (n *Node) steerBy(events []directory.Event, from string, age time.Duration) {
-	n.confirmed.Note(n.now(), age)
+	if n.confirmed.Note(n.now(), age) {
+		n.changed.wake()
+	}
 	if n.viewRevision.Swap(n.directory.Revision()) == n.directory.Revision() && len(events) == 0 {
 		return
 	}
@@ -228,11 +233,11 @@
 	next.Tree[""] = root
 }
 
-// have is where changes from another balancer must begin.
-func (n *Node) have() question {
+// have is where changes from another balancer must begin, and how old what is believed is.
+func (n *Node) have() (question, time.Duration) {
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
-	return question{n.directory.Revision(), n.directory.SettingsRevision()}
+	return question{n.directory.Revision(), n.directory.SettingsRevision()}, n.beliefAge()
 }
 
 func (n *Node) revision() uint64 {
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -58,8 +58,8 @@
 	return s.get(ctx, pathDirectory)
 }
 
-func (s *peerSource) changes(ctx context.Context, have question, wait time.Duration) (*peerAnswer, error) {
-	return s.get(ctx, fmt.Sprintf("%s?after=%d&settings=%d&wait=%d", pathChanges, have.after, have.base, wait.Milliseconds()))
+func (s *peerSource) changes(ctx context.Context, have question, age, wait time.Duration) (*peerAnswer, error) {
+	return s.get(ctx, fmt.Sprintf("%s?after=%d&settings=%d&age=%d&wait=%d", pathChanges, have.after, have.base, age.Milliseconds(), wait.Milliseconds()))
 }
 
 func (s *peerSource) get(ctx context.Context, path string) (*peerAnswer, error) {
--- a/internal/edge/serving.go
+++ b/internal/edge/serving.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"errors"
 	"net/http"
 	"strconv"
@@ -47,20 +48,22 @@
 	})
 }
 
-// servePeerChanges answers as soon as there are changes, when the wait is over,
-// or when this balancer loses the store, so that the asker looks elsewhere.
+// servePeerChanges answers as soon as there are changes, when the store has confirmed again
+// what is believed, when the wait is over, or when this balancer loses the store, so that the
+// asker looks elsewhere.
 func (n *Node) servePeerChanges(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	base, baseErr := strconv.ParseUint(query.Get("settings"), 10, 64)
+	ageMs, ageErr := strconv.ParseInt(cmp.Or(query.Get("age"), "0"), 10, 64)
 	waitMs, waitErr := strconv.ParseInt(query.Get("wait"), 10, 64)
-	if errors.Join(err, baseErr, waitErr) != nil || waitMs < 0 {
-		http.Error(w, "after, settings and wait must be whole numbers", http.StatusBadRequest)
+	if errors.Join(err, baseErr, ageErr, waitErr) != nil || waitMs < 0 {
+		http.Error(w, "after, settings, age and wait must be whole numbers", http.StatusBadRequest)
 		return
 	}
 	wait := min(time.Duration(waitMs)*time.Millisecond, maxPeerWait)
 	woken := n.changed.wait()
-	if n.revision() <= after {
+	if !n.knowsMore(after, time.Duration(ageMs)*time.Millisecond) {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
@@ -74,6 +77,14 @@
 	n.answerPeer(w, question{after, base})
 }
 
+// knowsMore tells whether this balancer knows of changes after a revision, or of a newer
+// confirmation of it by the store than one of the age.
+func (n *Node) knowsMore(after uint64, age time.Duration) bool {
+	n.beliefs.Lock()
+	defer n.beliefs.Unlock()
+	return n.directory.Revision() > after || n.confirmed.Renews(n.now(), age)
+}
+
 // question is what another balancer asks for: everything, or what follows after what
 // it has.
 type question struct {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -30,7 +30,7 @@
 // stops working shows even where it breaks no rule. What is served varies from seed to seed
 // (kill-all by 0.002 in aim), so that the mean of several is judged.
 func TestServedShare(t *testing.T) {
-	const seeds = 4
+	const seeds = 8
 	for _, test := range []struct {
 		scenario      string
 		inAim, served float64
@@ -94,7 +94,7 @@
 		{"a listing anew is finished", "store-compact", 1, Without{ListingsAnew: true}, ruleDrain},
 		{"copies go where the first one went, or pins hold", "lossy", 1, Without{CopyMemory: true, Pins: true}, ruleFlow},
 		{"copies go where the first one went", "lossy", 1, Without{CopyMemory: true}, ruleFlow},
-		{"a flow that is open stays where it is", "lossy", 1, Without{Pins: true}, ruleFlow},
+		{"a flow that is open stays where it is", "lossy", 16, Without{Pins: true}, ruleFlow},
 		{"opening packets that waited are dropped", "chaos", 1, Without{Standstill: true}, ruleFlow},
 	} {
 		t.Run(test.name+" "+test.scenario, func(t *testing.T) {
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -65,8 +65,10 @@
 	peers     *peers.Table
 	follower  *follow.Follower
 	confirmed follow.Confirmation
-	learned   bool
-	lag       follow.Lag
+	// told is the revision up to which those that wait have heard of changes.
+	told    uint64
+	learned bool
+	lag     follow.Lag
 	// giveUp ends the follower's present call.
 	giveUp func(follow.Outcome)
 	ready  bool
@@ -82,7 +84,7 @@
 	w := n.world
 	n.run++
 	n.up, n.leaving, n.ready, n.learned = true, false, false, false
-	n.startedAt, n.newest, n.confirmed = w.Now, 0, follow.Confirmation{}
+	n.startedAt, n.newest, n.confirmed, n.told = w.Now, 0, follow.Confirmation{}, 0
 	n.polls, n.held, n.queue, n.giveUp, n.lag = nil, nil, nil, nil, follow.Lag{}
 	keep := flowLife + drainBound
 	if w.options.Without.Departed {
@@ -167,14 +169,25 @@
 
 // step makes the next call that the follower decides on.
 func (n *node) step() {
-	state := follow.State{Revision: n.directory.Revision()}
+	state := n.followState()
+	call := n.follower.Next(state)
+	n.carryOut(call, state)
+}
+
+// followState is what the next call is decided by.
+func (n *node) followState() follow.State {
+	state := follow.State{Now: n.now(), Revision: n.directory.Revision(), Spare: n.peers.HasLower(n.now())}
 	if peer, found := n.peers.Upstream(n.now(), follow.MaxPeerAge(contactBound)); found {
 		state.Upstream, state.UpstreamAge = peer.Control, peer.Age(n.now())
 	}
 	if peer, found := n.peers.Freshest(n.now(), state.Revision); found {
 		state.Freshest = peer.Control
 	}
-	call := n.follower.Next(state)
+	return state
+}
+
+// carryOut makes a call and takes its outcome.
+func (n *node) carryOut(call follow.Call, state follow.State) {
 	if call.Kind == follow.Pause {
 		n.finish(call, call.Wait, follow.Outcome{})
 		return
@@ -212,7 +225,7 @@
 
 func (n *node) finish(call follow.Call, after time.Duration, outcome follow.Outcome) {
 	n.whileRunning(after, func() {
-		if n.follower.Done(call, outcome) == follow.Lost {
+		if n.follower.Done(n.followState(), call, outcome) == follow.Lost {
 			n.wakePolls()
 		}
 		n.step()
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -15,18 +15,19 @@
 	if peer == nil || n.cutFromPeers || peer.cutFromPeers {
 		return
 	}
-	after, base := n.directory.Revision(), n.directory.SettingsRevision()
+	after, base, age := n.directory.Revision(), n.directory.SettingsRevision(), n.confirmed.Age(n.now())
 	toAsker := n.toThisRun()
 	n.world.After(n.world.delay(n.zone, peer.zone), func() {
 		peer.whileRunning(0, func() {
-			peer.whenChanged(after, call.Wait, func() { n.world.After(n.world.delay(n.zone, peer.zone), peer.answerFor(n, toAsker, after, base, end)) })
+			peer.whenChanged(after, age, call.Wait, func() { n.world.After(n.world.delay(n.zone, peer.zone), peer.answerFor(n, toAsker, after, base, end)) })
 		})
 	})
 }
 
-// whenChanged runs reply once there is something newer, or the wait is over.
-func (n *node) whenChanged(after uint64, wait time.Duration, reply func()) {
-	if n.directory.Revision() > after {
+// whenChanged runs reply once there is something newer, also a newer confirmation than one of
+// the age, or the wait is over.
+func (n *node) whenChanged(after uint64, age, wait time.Duration, reply func()) {
+	if n.directory.Revision() > after || n.confirmed.Renews(n.now(), age) {
 		reply()
 		return
 	}
--- a/internal/follow/confirmation.go
+++ b/internal/follow/confirmation.go
@@ -15,12 +15,26 @@
 	known bool
 }
 
+// renewStep is by how much newer a confirmation must be for others to hear of it at once.
+const renewStep = 200 * time.Millisecond
+
 // Note takes over that the store confirmed the beliefs age before now, on the steady clock
-// of the process. An older confirmation than the known one changes nothing.
-func (c *Confirmation) Note(now, age time.Duration) {
-	if at := now - age; !c.known || at > c.at {
-		c.at, c.known = at, true
+// of the process. An older confirmation than the known one changes nothing. It tells whether
+// followers who wait should hear of it: so a confirmation passes along a chain of balancers
+// at once, and beliefs are hardly older at its end than where the store is asked.
+func (c *Confirmation) Note(now, age time.Duration) (renewed bool) {
+	at := now - age
+	if c.known && at <= c.at {
+		return false
 	}
+	renewed = !c.known || at-c.at >= renewStep
+	c.at, c.known = at, true
+	return renewed
+}
+
+// Renews tells whether this confirmation is news to a balancer that has one of the age.
+func (c *Confirmation) Renews(now, age time.Duration) bool {
+	return c.Age(now)+renewStep <= age
 }
 
 // Age is how long before now the store confirmed the beliefs.
--- a/internal/follow/confirmation_test.go
+++ b/internal/follow/confirmation_test.go
@@ -18,6 +18,23 @@
 	}
 }
 
+// TestAConfirmationIsToldOnce to those who wait, and not for each small step.
+func TestAConfirmationIsToldOnce(t *testing.T) {
+	var c Confirmation
+	if !c.Note(time.Second, 0) {
+		t.Error("the first one is not told")
+	}
+	if c.Note(1100*time.Millisecond, 0) || c.Note(1200*time.Millisecond, 500*time.Millisecond) {
+		t.Error("what is hardly newer, or older, is told")
+	}
+	if !c.Note(2*time.Second, 0) {
+		t.Error("a newer one is not told")
+	}
+	if !c.Renews(2*time.Second, 300*time.Millisecond) || c.Renews(2*time.Second, 100*time.Millisecond) {
+		t.Error("what it is worth to another depends on the other's age")
+	}
+}
+
 func TestTheNewestConfirmationCounts(t *testing.T) {
 	var c Confirmation
 	c.Note(3*time.Second, 0)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,8 +7,8 @@
 //
 //	f := follow.New(contactBound, follow.StartPause(linkMbps))
 //	for {
-//		call := f.Next(follow.State{Revision: revision, Upstream: upstream, Freshest: freshest})
-//		contact := f.Done(call, carryOut(call))
+//		call := f.Next(state())
+//		contact := f.Done(state(), call, carryOut(call))
 //	}
 package follow
 
@@ -32,25 +32,37 @@
 	TransferTimeout = 3 * time.Second
 	// changesSlack is how much later than asked for the store's answer may come.
 	changesSlack = 500 * time.Millisecond
-	// peerWait is the longest and minPeerWait the shortest that a balancer waits for changes
-	// at another one, and peerSlack how much later the answer may come.
-	peerWait    = time.Second
+	// minPeerWait is the shortest time that a balancer waits for changes at another one, and
+	// peerSlack how much later the answer may come.
 	minPeerWait = 100 * time.Millisecond
 	peerSlack   = 300 * time.Millisecond
+	// catchUpTime bounds a call at a balancer that knows more.
+	catchUpTime = time.Second
 	// narrowLink is the bandwidth below which a whole configuration takes long, in
 	// Mbit/s, and narrowPause how long a balancer behind such a link leaves the store
 	// to others when it starts; the driver varies it by half.
 	narrowLink  = 50
 	narrowPause = 200 * time.Millisecond
-	// firstRetry and lastRetry bound the pause after a failed call; it doubles.
+	// firstRetry and lastRetry bound the time after a failed call until the store is asked again;
+	// it doubles.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 400 * time.Millisecond
+	// spareRetry is that time where another balancer comes first by rank, after the first
+	// failure, and longSpareRetry after more: in an outage the other one asks, and tells when
+	// the store is back.
+	spareRetry     = 400 * time.Millisecond
+	longSpareRetry = 2 * time.Second
+	// maxDoublings bounds how often that time doubles.
+	maxDoublings = 8
+	// pauseStep is how long a balancer that waits to ask the store pauses before it looks
+	// whether another one has heard of it meanwhile.
+	pauseStep = 200 * time.Millisecond
 	// gatherTime is the pause after changes, so that those that come together are
 	// read together.
 	gatherTime = 150 * time.Millisecond
 	// storeWaitPart and peerAgePart divide the contact bound: how long the store
-	// is waited for, and how old what another balancer tells may be. A call there ends
-	// before its word is older, so that a balancer which heard nothing from its source asks
+	// is waited for, and how old what another balancer tells may be. A call there is answered
+	// when the store has confirmed again what is believed, and ends before that is older, so that a balancer which heard nothing from its source asks
 	// the store peerSlack after that age at the latest: below the bounds of configuration
 	// and draining.
 	storeWaitPart = 4
@@ -90,6 +102,10 @@
 
 // State is what Next decides by.
 type State struct {
+	// Now is the time on the steady clock of the process.
+	Now time.Duration
+	// Spare is set while a live balancer of lower rank is known, which asks the store first.
+	Spare bool
 	// Revision is up to where the beliefs are complete, 0 for nothing.
 	Revision uint64
 	// Upstream is the balancer to follow, Freshest one with a newer revision;
@@ -149,14 +165,17 @@
 	// catchUp is set when the store failed and a peer may know more.
 	catchUp bool
 	pause   time.Duration
-	retry   time.Duration
-	broken  bool
+	// storeAfter is when the store may be asked again after failures, and failures counts
+	// them since it last answered.
+	storeAfter time.Duration
+	failures   int
+	broken     bool
 }
 
 // New returns a follower. contactBound is the platform's bound for being in touch,
 // startPause how long the store is left to others while nothing is known; see StartPause.
 func New(contactBound, startPause time.Duration) *Follower {
-	return &Follower{contactBound: contactBound, startPause: startPause, retry: firstRetry}
+	return &Follower{contactBound: contactBound, startPause: startPause}
 }
 
 // StartPause returns how long a balancer that starts leaves the store to others. When a
@@ -185,7 +204,7 @@
 func (f *Follower) Next(state State) Call {
 	if f.catchUp && state.Freshest.IsValid() {
 		f.catchUp = false
-		return Call{Kind: AskPeer, Peer: state.Freshest, Timeout: peerWait}
+		return Call{Kind: AskPeer, Peer: state.Freshest, Timeout: catchUpTime}
 	}
 	f.catchUp = false
 	if state.Revision == 0 {
@@ -198,10 +217,13 @@
 		return call
 	}
 	if state.Upstream.IsValid() && state.Revision > 0 && !f.storeTurn {
-		wait := min(max(MaxPeerAge(f.contactBound)-state.UpstreamAge, minPeerWait), peerWait)
+		wait := max(MaxPeerAge(f.contactBound)-max(state.UpstreamAge, 0), minPeerWait)
 		return Call{Kind: AskPeer, Peer: state.Upstream, Wait: wait, Timeout: wait + peerSlack}
 	}
 	f.storeTurn = false
+	if left := f.storeAfter - state.Now; left > 0 {
+		return Call{Kind: Pause, Wait: min(left, pauseStep)}
+	}
 	if f.historyLost || state.Revision == 0 {
 		return Call{Kind: ListStore, Timeout: listTimeout}
 	}
@@ -209,8 +231,9 @@
 	return Call{Kind: WatchStore, Wait: wait, Timeout: wait + changesSlack}
 }
 
-// Done takes the outcome of a call and tells whether contact with the store changed.
-func (f *Follower) Done(call Call, outcome Outcome) Contact {
+// Done takes the outcome of a call, with the state after it, and tells whether contact with the
+// store changed.
+func (f *Follower) Done(state State, call Call, outcome Outcome) Contact {
 	switch call.Kind {
 	case Pause:
 		return Same
@@ -233,7 +256,7 @@
 		f.catchUp = true
 		return Same
 	case Failed:
-		return f.failed(call)
+		return f.failed(state, call)
 	}
 	if call.Kind == ListStore {
 		f.historyLost = false
@@ -246,7 +269,7 @@
 
 // regained notes that the store's word has arrived, directly or through a peer.
 func (f *Follower) regained() Contact {
-	f.retry = firstRetry
+	f.failures, f.storeAfter = 0, 0
 	if !f.broken {
 		return Same
 	}
@@ -254,14 +277,10 @@
 	return Regained
 }
 
-func (f *Follower) failed(call Call) Contact {
+func (f *Follower) failed(state State, call Call) Contact {
 	f.catchUp = true
-	f.pause = f.retry
-	most := lastRetry
-	if call.Kind == ListStore {
-		most = lastListRetry
-	}
-	f.retry = min(2*f.retry, most)
+	f.storeAfter = state.Now + f.retryTime(state, call)
+	f.failures++
 	if f.broken {
 		return Same
 	}
@@ -269,6 +288,20 @@
 	return Lost
 }
 
+// retryTime returns how long after a failed call the store is asked again.
+func (f *Follower) retryTime(state State, call Call) time.Duration {
+	last := lastRetry
+	switch {
+	case call.Kind == ListStore:
+		last = lastListRetry
+	case state.Spare && f.failures == 0:
+		return spareRetry
+	case state.Spare:
+		return longSpareRetry
+	}
+	return min(firstRetry<<min(f.failures, maxDoublings), last)
+}
+
 const (
 	// overtakenAfter is how long another balancer must have known more before a call
 	// is given up: the store tells all within a moment of each other.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -20,7 +20,13 @@
 	if call.Kind != want {
 		t.Fatalf("call %v, want %v", call.Kind, want)
 	}
-	return f.Done(call, outcome)
+	return f.Done(state, call, outcome)
+}
+
+// later is the state when all pauses after failures are over.
+func (s State) later() State {
+	s.Now += time.Minute
+	return s
 }
 
 func TestAStartListsAndThenWatches(t *testing.T) {
@@ -46,7 +52,7 @@
 // more than its age and one short wait.
 func TestACallAtAnotherEndsBeforeItsWordIsTooOld(t *testing.T) {
 	for _, test := range []struct{ age, wait time.Duration }{
-		{0, peerWait},
+		{0, MaxPeerAge(bound)},
 		{MaxPeerAge(bound) - 400*time.Millisecond, 400 * time.Millisecond},
 		{MaxPeerAge(bound), minPeerWait},
 	} {
@@ -65,10 +71,10 @@
 		t.Errorf("contact %v", contact)
 	}
 	step(t, f, state, Pause, Outcome{})
-	if contact := step(t, f, state, ListStore, Outcome{}); contact != Regained {
+	if contact := step(t, f, state.later(), ListStore, Outcome{}); contact != Regained {
 		t.Errorf("contact %v", contact)
 	}
-	step(t, f, state, WatchStore, Outcome{})
+	step(t, f, state.later(), WatchStore, Outcome{})
 }
 
 func TestAFailureIsToldOnceAndPeersAreAsked(t *testing.T) {
@@ -80,37 +86,67 @@
 	if call := f.Next(state); call.Kind != AskPeer || call.Peer != freshest || call.Wait != 0 {
 		t.Errorf("call %+v", call)
 	}
-	pauses := time.Duration(0)
-	for range 10 {
-		call := f.Next(State{Revision: 5})
-		if call.Kind != Pause || call.Wait > lastRetry {
-			t.Fatalf("call %+v", call)
+	f.Done(state, Call{Kind: AskPeer}, Outcome{Result: Failed})
+	if asked := retries(t, f, State{Revision: 5}, 10*lastRetry); asked < 10 || asked > 15 {
+		t.Errorf("the store is asked %d times in %v", asked, 10*lastRetry)
+	}
+}
+
+// retries lets all calls fail for a time and counts those to the store.
+func retries(t *testing.T, f *Follower, state State, length time.Duration) (asked int) {
+	t.Helper()
+	for end := state.Now + length; state.Now < end; {
+		call := f.Next(state)
+		if call.Kind == Pause {
+			if call.Wait <= 0 || call.Wait > pauseStep {
+				t.Fatalf("call %+v", call)
+			}
+			state.Now += call.Wait
+		} else {
+			asked++
 		}
-		pauses += call.Wait
-		f.Done(call, Outcome{})
-		if contact := step(t, f, State{Revision: 5}, WatchStore, Outcome{Result: Failed}); contact != Same {
+		if contact := f.Done(state, call, Outcome{Result: Failed}); contact != Same {
 			t.Errorf("contact %v", contact)
 		}
 	}
-	if pauses < 5*lastRetry {
-		t.Errorf("ten retries within %v", pauses)
+	return asked
+}
+
+// TestInAnOutageFewAskTheStore: those that others come before by rank ask seldom, and hear
+// from those at once.
+func TestInAnOutageFewAskTheStore(t *testing.T) {
+	f := New(bound, 0)
+	state := State{Revision: 5, Spare: true}
+	step(t, f, state, WatchStore, Outcome{Result: Failed})
+	if asked := retries(t, f, state, 10*lastRetry); asked > 3 {
+		t.Errorf("the store is asked %d times in %v", asked, 10*lastRetry)
+	}
+	f = New(bound, 0)
+	step(t, f, state, WatchStore, Outcome{Result: Failed})
+	step(t, f, state, Pause, Outcome{})
+	state.Upstream = upstream
+	if contact := step(t, f, state, AskPeer, Outcome{}); contact != Regained {
+		t.Errorf("through another balancer: %v", contact)
 	}
 }
 
 // TestADeadConnectionIsFoundOutInTime: from any moment at which the store answers
 // again, changes are known well within the bounds, also when a call or a peer hangs.
 func TestADeadConnectionIsFoundOutInTime(t *testing.T) {
-	f := New(bound, 0)
-	watch := f.Next(State{Revision: 5})
-	f.Done(watch, Outcome{Result: Failed})
-	pause := f.Next(State{Revision: 5})
-	f.Next(State{})
-	if total := watch.Timeout + pause.Wait + PageTimeout/2; total > bound*3/4 {
-		t.Errorf("%v until changes are known", total)
+	for _, spare := range []bool{false, true} {
+		f := New(bound, 0)
+		state := State{Revision: 5, Spare: spare}
+		watch := f.Next(state)
+		f.Done(state, watch, Outcome{Result: Failed})
+		if total := watch.Timeout + f.storeAfter - state.Now + PageTimeout/2; total > bound*3/4 {
+			t.Errorf("%v until changes are known, others come before: %v", total, spare)
+		}
 	}
-	ask := New(bound, 0).Next(State{Revision: 5, Upstream: upstream})
-	if total := ask.Timeout + MaxPeerAge(bound); total > bound*3/4 {
-		t.Errorf("%v until a hanging peer is given up", total)
+	for age := time.Duration(0); age <= MaxPeerAge(bound); age += MaxPeerAge(bound) / 16 {
+		ask := New(bound, 0).Next(State{Revision: 5, Upstream: upstream, UpstreamAge: age})
+		if total := age + ask.Timeout; total > bound/2 {
+			t.Errorf("what is believed is %v old when a peer that hangs is given up", total)
+		}
 	}
 }
 
@@ -177,9 +213,8 @@
 	if contact := step(t, f, state, AskPeer, Outcome{Age: 2 * MaxPeerAge(bound)}); contact != Same {
 		t.Errorf("through a stale peer: %v", contact)
 	}
-	step(t, f, state, WatchStore, Outcome{Result: Failed})
-	step(t, f, state, Pause, Outcome{})
-	if contact := step(t, f, state, AskPeer, Outcome{}); contact != Regained {
+	step(t, f, state.later(), WatchStore, Outcome{Result: Failed})
+	if contact := step(t, f, state.later(), AskPeer, Outcome{}); contact != Regained {
 		t.Errorf("through a fresh peer: %v", contact)
 	}
 }
