--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -94,6 +94,8 @@
 	faulty bool
 	// latency is the mean time of an answer, in seconds; 0 while unknown.
 	latency float64
+	// cold learns from answers while it warms up.
+	cold *coldPace
 	// samples counts the answers that latency is the mean of, up to latencySamples.
 	samples int
 	// progress is when the back end last showed a sign of life.
@@ -126,7 +128,7 @@
 }
 
 func (s *Steerer) newState(id settings.BackendID) *backendState {
-	state := &backendState{id: id, events: &s.events}
+	state := &backendState{id: id, events: &s.events, cold: &s.cold}
 	s.backends[id] = state
 	return state
 }
@@ -157,9 +159,14 @@
 	}
 }
 
-// finish notes that a request was answered after latency.
-func (b *backendState) finish(latency time.Duration) {
+// finish notes that a request was answered after latency. While the back end warms up, that
+// says nothing of the time after.
+func (b *backendState) finish(latency time.Duration, cold bool) {
 	b.active--
+	if cold {
+		b.cold.note(latency)
+		return
+	}
 	b.samples = min(b.samples+1, latencySamples)
 	if b.latency == 0 {
 		b.latency = latency.Seconds()
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// coldCost is how much slower a back end is taken to be while it warms up.
-	coldCost = 1.6
 	// slowFrom is how many times the usual latency a back end may take before it
 	// counts as slow, slowMost the most that its slowness counts.
 	slowFrom = 1.6
@@ -107,6 +105,7 @@
 	}
 	usual := s.usualLatency()
 	s.weighSlowness(usual)
+	s.cold.usual = usual
 	turn := s.turns[group.Discover]
 	s.turns[group.Discover]++
 	local := s.best(usual, true, turn)
@@ -226,7 +225,7 @@
 	soon := load + s.rush(now, state, member.Zone == s.config.Zone)
 	pace := 1.0
 	if now < member.ColdUntil {
-		pace = coldCost
+		pace = s.cold.pace
 	}
 	if s.config.Mechanisms.NoLoad {
 		load, soon, pace = 0, 0, 1
--- a/internal/steering/rush_test.go
+++ b/internal/steering/rush_test.go
@@ -92,6 +92,26 @@
 	}
 }
 
+// TestThePaceOfColdBackEndsIsLearned from their answers, which do not count as their latency
+// later.
+func TestThePaceOfColdBackEndsIsLearned(t *testing.T) {
+	f := newFleet(t)
+	member := f.opened(0, feedAddress)
+	member.ColdUntil = f.now + time.Minute
+	f.steerer.cold.usual = 0.050
+	for i := range uint32(60) {
+		f.established(0, feedAddress, member.Tag, 1+100*i, 100)
+		f.pass(150 * time.Millisecond)
+		f.established(0, feedAddress, member.Tag, 101+100*i, 0)
+	}
+	if pace := f.steerer.cold.pace; math.Abs(pace-3) > 0.1 {
+		t.Errorf("pace %v of answers that took three times the usual", pace)
+	}
+	if state := f.steerer.stateOf(member); state.samples > 0 {
+		t.Errorf("%d answers of the warm-up count later", state.samples)
+	}
+}
+
 func TestWaiting(t *testing.T) {
 	if waiting(0, 2) != 0 {
 		t.Error("who has nothing to do lets wait")
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -72,6 +72,8 @@
 	// candidates is the memory of placement, reused.
 	candidates []candidate
 	latencies  []float64
+	// cold is how slow back ends are that warm up.
+	cold coldPace
 	// events are observations that the driver has not taken yet.
 	events []BackendEvent
 	// running is set by the first sign that the process runs, pulse is the last
@@ -100,6 +102,7 @@
 		backends: map[settings.BackendID]*backendState{},
 		groups:   map[groupKey]*groupState{},
 		turns:    map[string]int{},
+		cold:     coldPace{pace: firstColdPace},
 		resumed:  -resumeTime,
 		lagged:   -lagTime,
 	}
