--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -145,7 +145,7 @@
 // step hands an event to the core and performs the effects.
 func (n *node) step(event balancer.Event) {
 	var effects balancer.Effects
-	n.world.meter.measure(event, func() { n.core.Step(n.world.Now-n.started, event, &effects) })
+	n.core.Step(n.world.Now-n.started, event, &effects)
 	for i := range effects.List {
 		n.perform(&effects.List[i])
 	}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -51,8 +51,6 @@
 	// lyingLoad makes half of the back ends report no load, and the others too much.
 	lyingLoad bool
 	snapshot  *settings.Snapshot
-	// meter times the core; nil measures nothing.
-	meter *meter
 }
 
 // traceKind says what a line of the trace records.
--- a/internal/simcli/simcli.go
+++ b/internal/simcli/simcli.go
@@ -37,16 +37,7 @@
 
 type listCommand struct{}
 
-type scaleCommand struct {
-	Nodes []int     `arg:"--nodes" help:"numbers of hollow nodes"`
-	Cell  []int     `arg:"--cell" help:"balancers in a cell, over three zones"`
-	Load  []float64 `arg:"--load" help:"multiplies a cell's flows and requests"`
-	Seed  uint64    `arg:"--seed" default:"1"`
-	Plot  string    `arg:"--plot" help:"write an SVG of bytes and convergence against nodes"`
-}
-
 type arguments struct {
-	Scale    *scaleCommand    `arg:"subcommand:scale" help:"measure hollow nodes; one JSON object a line"`
 	Run      *runCommand      `arg:"subcommand:run" help:"run scenarios; one JSON object a line; status 1 when a promise broke"`
 	Platform *platformCommand `arg:"subcommand:platform" help:"run fleets on the users' platform; one JSON object a line; status 1 when a rule broke"`
 	List     *listCommand     `arg:"subcommand:list" help:"list deployments, scenarios, strategies and mechanisms"`
@@ -73,8 +64,6 @@
 		return exitKept
 	case parsed.Platform != nil:
 		return runPlatform(parsed.Platform, out, errOut)
-	case parsed.Scale != nil:
-		return scale(parsed.Scale, out, errOut)
 	case parsed.Run != nil:
 		return run(parsed.Run, out, errOut)
 	}
--- a/internal/virtual/clock.go
+++ b/internal/virtual/clock.go
@@ -90,11 +90,6 @@
 	c.Now = end
 }
 
-// DropEvents forgets all events that have not happened.
-func (c *Clock) DropEvents() {
-	c.queue = nil
-}
-
 // Chance returns true with the probability.
 func (c *Clock) Chance(probability float64) bool {
 	return probability > 0 && c.Random.Float64() < probability
