--- a/internal/logs/explain/causes.go
+++ b/internal/logs/explain/causes.go
@@ -14,6 +14,7 @@
 const (
 	NoRoute          Cause = "the service's address had no route in the version in force; the caller was reset at once"
 	NoBackend        Cause = "no back end of the service took new flows"
+	BackendLost      Cause = "the back end answered nobody any more; the flow was reset, so that its caller asks elsewhere"
 	BackendDied      Cause = "the back end fell silent with the flow: it crashed, stood still or was cut off"
 	BackendFailing   Cause = "the back end leaves requests unanswered though it takes new flows"
 	BackendLeft      Cause = "the back end was draining or its entry had gone"
@@ -49,6 +50,7 @@
 	{NothingKnown, func(s *scene) []logs.Line { return s.ofFlow("not_ready") }},
 	{UnknownTag, func(s *scene) []logs.Line { return s.ofFlow("unknown_tag") }},
 	{BalancerStill, func(s *scene) []logs.Line { return s.ofFlow("stale") }},
+	{BackendLost, (*scene).reset},
 	{BackendDied, (*scene).died},
 	{BalancerSilent, (*scene).balancerSilent},
 	{BackendFailing, func(s *scene) []logs.Line { return s.ofBackend(logs.BackendFaulty) }},
@@ -69,6 +71,21 @@
 	return found
 }
 
+// reset returns the steps in which a balancer ended the flow because its back end was lost, with
+// what was seen of that one.
+func (s *scene) reset() []logs.Line {
+	found := s.ofFlow("backend_lost")
+	for _, step := range s.steps {
+		if step.Line.Message == logs.FlowReset {
+			found = append(found, step.Line)
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	return append(found, s.ofBackend(logs.BackendLost)...)
+}
+
 // ofBackend returns the lines near about the flow's back end with one of the messages.
 func (s *scene) ofBackend(messages ...string) []logs.Line {
 	if s.query.Backend == "" {
@@ -99,7 +116,7 @@
 // died returns the doubts of balancers in a back end that no planned end explains. A
 // doubt that was followed by a sign of life on the same balancer is none.
 func (s *scene) died() []logs.Line {
-	doubts := s.ofBackend(logs.BackendDoubted, logs.BackendSuspected)
+	doubts := s.ofBackend(logs.BackendDoubted, logs.BackendSuspected, logs.BackendLost)
 	if len(doubts) == 0 || len(s.ofBackend(logs.BackendDraining)) > 0 {
 		return nil
 	}
--- a/internal/logs/explain/explain_test.go
+++ b/internal/logs/explain/explain_test.go
@@ -49,6 +49,8 @@
 		{"a dropped route", []string{known, `10|n1|flow refused|"caller":"100.64.0.7:40001","reason":"no_route","revision":20`}, NoRoute},
 		{"no server", []string{known, `10|n1|flow refused|"caller":"100.64.0.7:40001","reason":"no_backend"`}, NoBackend},
 		{"a crashed server", []string{known, placed, `10.3|n2|back end doubted|"backend":"ab","silent_ms":80`, `13|n1|back end gone|"backend":"ab"`}, BackendDied},
+		{"a flow reset at a lost server", []string{known, placed, `10.3|n2|back end lost|"backend":"ab","silent_ms":350`, `10.3|n1|flow reset|"caller":"100.64.0.7:40001","backend":"ab"`}, BackendLost},
+		{"a request refused at a lost server", []string{known, placed, `10.4|n1|flow refused|"caller":"100.64.0.7:40001","reason":"backend_lost"`}, BackendLost},
 		{"a doubt that was a lost packet", []string{known, placed, `10.3|n1|back end doubted|"backend":"ab"`, `10.4|n1|back end answers again|"backend":"ab"`, `11|n1|back end draining|"backend":"ab"`}, BackendLeft},
 		{"a server that fails requests", []string{known, placed, `10.5|n3|back end leaves requests unanswered|"backend":"ab"`, `10.6|n3|back end doubted|"backend":"ab"`, `10.7|n3|back end answers again|"backend":"ab"`}, BackendFailing},
 		{"a crashed server whose requests wait", []string{known, placed, `10.3|n2|back end doubted|"backend":"ab"`, `10.5|n3|back end leaves requests unanswered|"backend":"ab"`}, BackendDied},
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -629,10 +629,13 @@
 			}
 			b.ReportAllocs()
 			b.ResetTimer()
+			// As many flows a second as a balancer places at the size to come.
+			const rate = 59
 			for i := range b.N {
+				f.now += time.Second / rate
 				f.steerer.Steer(f.now, &Packet{Flow: key(i, feedAddress), Kind: Open, Sequence: uint32(i)})
-				if i%10000 == 0 {
-					f.pass(10 * time.Second)
+				if i%rate == 0 {
+					f.steerer.Pulse(f.now)
 					f.steerer.Tick(f.now)
 				}
 			}
