What is usual is known for each service's back ends apart

The usual time of an answer, by which answers of cold back ends and of trials are judged, was that of whichever service a flow was last placed for; with services of 5 and 50 ms the pace of cold back ends would have been learned ten times wrong. Change: poolState keeps the usual time, the cold pace and the turn for each name that back ends announce. Test: TestThePaceOfColdBackEndsIsLearned has a second service. Tests of steering and emulator pass.

--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -87,10 +87,10 @@
 	faults float64
 	// faulty is set while there are many.
 	faulty bool
-	// answers are those of the last seconds through this balancer, cold learns from those that
-	// came while the back end warmed up.
+	// answers are those of the last seconds through this balancer, but for those that came while
+	// the back end warmed up; pool learns from these.
 	answers answers
-	cold    *coldPace
+	pool    *poolState
 	// slowness is how many times longer than usual answers took when enough of them were last
 	// seen, 1 unless that is much longer.
 	slowness float64
@@ -120,14 +120,14 @@
 func (s *Steerer) stateOf(member *directory.Member) *backendState {
 	state := s.backends[member.ID]
 	if state == nil {
-		state = s.newState(member.ID)
+		state = s.newState(member)
 	}
 	return state
 }
 
-func (s *Steerer) newState(id settings.BackendID) *backendState {
-	state := &backendState{id: id, events: &s.events, cold: &s.cold, slowness: 1}
-	s.backends[id] = state
+func (s *Steerer) newState(member *directory.Member) *backendState {
+	state := &backendState{id: member.ID, events: &s.events, pool: s.poolOf(member.Group), slowness: 1}
+	s.backends[member.ID] = state
 	return state
 }
 
@@ -162,13 +162,13 @@
 func (b *backendState) finish(now, latency time.Duration, cold bool) {
 	b.active--
 	if cold {
-		b.cold.note(latency)
+		b.pool.noteCold(latency)
 		return
 	}
-	if b.trial {
-		b.trial = false
-		b.noteSlowness(latency.Seconds() / b.cold.usual)
+	if b.trial && b.pool.usual > 0 {
+		b.noteSlowness(latency.Seconds() / b.pool.usual)
 	}
+	b.trial = false
 	b.answers.add(now, latency)
 }
 
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -106,9 +106,10 @@
 	usual := s.usualAnswer()
 	s.weighSlowness(now, usual)
 	s.expectTimes(usual)
-	s.cold.usual = usual
-	turn := s.turns[group.Discover]
-	s.turns[group.Discover]++
+	known := s.poolOf(group.Discover)
+	known.usual = usual
+	turn := known.turn
+	known.turn++
 	local := s.best(usual, true, turn)
 	remote := s.best(usual, false, turn)
 	switch {
@@ -194,7 +195,7 @@
 	soon := load + s.rush(now, state, member.Zone == s.config.Zone)
 	pace := 1.0
 	if now < member.ColdUntil {
-		pace = s.cold.pace
+		pace = state.pool.coldPace
 	}
 	if s.config.Mechanisms.NoLoad {
 		load, soon = 0, 0
--- a/internal/steering/rush_test.go
+++ b/internal/steering/rush_test.go
@@ -98,15 +98,20 @@
 	f := newFleet(t)
 	member := f.opened(0, feedAddress)
 	member.ColdUntil = f.now + time.Minute
-	f.steerer.cold.usual = 0.050
+	pool := f.steerer.poolOf("feed")
+	pool.usual = 0.050
+	other := f.steerer.poolOf("upload").coldPace
 	for i := range uint32(60) {
 		f.established(0, feedAddress, member.Tag, 1+100*i, 100)
 		f.pass(150 * time.Millisecond)
 		f.established(0, feedAddress, member.Tag, 101+100*i, 0)
 	}
-	if pace := f.steerer.cold.pace; math.Abs(pace-3) > 0.1 {
+	if pace := pool.coldPace; math.Abs(pace-3) > 0.1 {
 		t.Errorf("pace %v of answers that took three times the usual", pace)
 	}
+	if pace := f.steerer.poolOf("upload").coldPace; pace != other {
+		t.Errorf("pace %v of another service's back ends", pace)
+	}
 	if state := f.steerer.stateOf(member); state.answers.count > 0 {
 		t.Errorf("%v answers of the warm-up count later", state.answers.count)
 	}
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -36,7 +36,7 @@
 	for tag, load := range loads {
 		for _, member := range s.view.Tagged(tag) {
 			if s.backends[member.ID] == nil {
-				s.newState(member.ID).others = load
+				s.newState(member).others = load
 			}
 		}
 	}
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -69,15 +69,13 @@
 	flows    map[flow.Key]*record
 	backends map[settings.BackendID]*backendState
 	groups   map[groupKey]*groupState
-	// own is where this balancer stands among those of its zone, and turns counts
-	// the flows that it placed in each group.
+	// own is where this balancer stands among those of its zone, and pools what it knows of
+	// the back ends of each name together.
 	own   Place
-	turns map[string]int
+	pools map[string]*poolState
 	// candidates is the memory of placement, reused.
 	candidates []candidate
 	means      []float64
-	// cold is how slow back ends are that warm up.
-	cold coldPace
 	// events are observations that the driver has not taken yet.
 	events []BackendEvent
 	// running is set by the first sign that the process runs, pulse is the last
@@ -105,8 +103,7 @@
 		flows:    map[flow.Key]*record{},
 		backends: map[settings.BackendID]*backendState{},
 		groups:   map[groupKey]*groupState{},
-		turns:    map[string]int{},
-		cold:     coldPace{pace: firstColdPace},
+		pools:    map[string]*poolState{},
 		resumed:  -resumeTime,
 		lagged:   -lagTime,
 	}
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -647,7 +647,7 @@
 // its share again when it has answered for a while.
 func TestABackEndThatLeavesRequestsUnansweredGetsFewerFlows(t *testing.T) {
 	s := New(Config{Zone: "a", FlowLife: time.Minute})
-	state := s.newState(7)
+	state := s.newState(&directory.Member{Backend: directory.Backend{ID: 7}})
 	known := &record{backend: state, waiting: true, lastSeen: time.Second, askedAt: time.Second}
 	known.noteUnanswered(time.Second + answerPatience/2)
 	if state.faults != 0 {
