One seed of the emulator gives one run

Change: Stalls is in order of callers, then of identifiers, so that the cut keeps what matters; Loads sums by address.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -172,11 +172,18 @@
 	}
 }
 
-// TestEqualSeedsGiveEqualRuns.
+// TestEqualSeedsGiveEqualRuns: what a run does never depends on the order of a map.
 func TestEqualSeedsGiveEqualRuns(t *testing.T) {
-	first, second := runNamed(t, "chaos", 5, Without{}), runNamed(t, "chaos", 5, Without{})
-	if !reflect.DeepEqual(first, second) {
-		t.Errorf("two runs differ: %+v and %+v", first, second)
+	for _, scenario := range []string{"chaos", "lossy", "servers-hang"} {
+		t.Run(scenario, func(t *testing.T) {
+			t.Parallel()
+			first := runNamed(t, scenario, 7, Without{})
+			for range 4 {
+				if again := runNamed(t, scenario, 7, Without{}); !reflect.DeepEqual(first, again) {
+					t.Fatalf("two runs differ: %+v and %+v", first, again)
+				}
+			}
+		})
 	}
 }
 
--- a/internal/peers/round.go
+++ b/internal/peers/round.go
@@ -127,10 +127,12 @@
 	return targets
 }
 
-// Loads sums what peers said lately of their work at each back end.
+// Loads sums what peers said lately of their work at each back end, always in the same order,
+// which the last digits of a sum depend on.
 func (t *Table) Loads(now time.Duration) map[directory.Tag]steering.Load {
 	loads := map[directory.Tag]steering.Load{}
-	for _, peer := range t.peers {
+	for _, control := range slices.SortedFunc(maps.Keys(t.peers), netip.AddrPort.Compare) {
+		peer := t.peers[control]
 		age := now - peer.loadsAt
 		if !peer.everHeard || age > loadLife {
 			continue
--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -89,18 +90,18 @@
 }
 
 // Stalls returns what this balancer knows of back ends that leave callers without a sign of
-// life, here or at others, at most count.
+// life, here or at others, at most count: those that leave the most callers first.
 func (s *Steerer) Stalls(now time.Duration, count int) []Stall {
 	var stalls []Stall
 	for id, b := range s.backends {
-		switch {
-		case len(stalls) >= count:
-			return stalls
-		case len(b.stalled) > 0, len(b.stalls) > 0 && now-b.progress < stallLife:
+		if len(b.stalled) > 0 || len(b.stalls) > 0 && now-b.progress < stallLife {
 			stalls = append(stalls, Stall{id, len(b.stalled), now - b.progress})
 		}
 	}
-	return stalls
+	slices.SortFunc(stalls, func(a, b Stall) int {
+		return cmp.Or(cmp.Compare(b.Callers, a.Callers), cmp.Compare(a.Backend, b.Backend))
+	})
+	return stalls[:min(count, len(stalls))]
 }
 
 // HearStalls takes over what another balancer told of back ends. If this one knows better, it
--- a/internal/steering/lost_test.go
+++ b/internal/steering/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -203,3 +204,24 @@
 		t.Errorf("after a while: %+v", verdict)
 	}
 }
+
+// TestStallsAreToldInOneOrder: those that leave the most callers first, and never by the order
+// of a map.
+func TestStallsAreToldInOneOrder(t *testing.T) {
+	f := silentFleet(t)
+	for id := settings.BackendID(1); id <= 6; id++ {
+		state := f.steerer.backends[id]
+		for i := range 1 + int(id)%3 {
+			state.stalled = append(state.stalled, netip.AddrFrom4([4]byte{100, 64, 0, byte(i)}))
+		}
+	}
+	for range 20 {
+		var told []settings.BackendID
+		for _, stall := range f.steerer.Stalls(f.now, 4) {
+			told = append(told, stall.Backend)
+		}
+		if want := []settings.BackendID{2, 5, 1, 4}; !slices.Equal(told, want) {
+			t.Fatalf("told are %v, want %v", told, want)
+		}
+	}
+}
