How many callers lose a back end follows how often requests are sent again

Flows at a back end were reset once four callers had sent data again in vain. Change: each group's balancers count requests and those that were sent again though their back end was well, over seconds and over half a minute, and want so many callers that chance stays below one in a million: four below 3% (as before), six at 10%, nine at 20%. Test: TestWherePacketsAreLostMoreCallersAreWanted.

--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -179,6 +179,7 @@
 	}
 	b.progress = now
 	b.silent = 0
+	b.pool.noteRepeated(len(b.stalled))
 	b.stalled, b.lostUntil = b.stalled[:0], 0
 	b.suspectUntil, b.suspicion = 0, 0
 	b.askedAt, b.doubtUntil, b.doubt, b.heardDoubtUntil = 0, 0, 0, 0
--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -11,11 +12,14 @@
 )
 
 const (
-	// lostCallers is how many different callers must have sent data again in vain, over all
-	// balancers and since anyone saw a sign of life, before a back end counts as lost. A sound
-	// one acknowledges data at once, also where its queue is long: with one packet in ten lost on
-	// its way, four in a row are one in ten thousand.
+	// lostCallers is how many different callers at least must have sent data again in vain, over
+	// all balancers and since anyone saw a sign of life, before a back end counts as lost. A sound
+	// one acknowledges data at once, also where its queue is long, unless packets are lost.
 	lostCallers = 4
+	// lostByChance is how improbable it must be that all of them only lost packets, by how often
+	// callers of sound back ends send data again: with less than 3 in 100 four are enough, with 10
+	// in 100 it takes six.
+	lostByChance = 1e-6
 	// lostSilence is how long nobody may have seen a sign of life of it by then.
 	lostSilence = 300 * time.Millisecond
 	// lostTime is how long it counts as lost, unless it shows a sign of life. After that the
@@ -64,7 +68,11 @@
 // noteStall notes that a caller has sent data again in vain.
 func (s *Steerer) noteStall(now time.Duration, known *record) {
 	b := known.backend
-	if b.progress >= known.askedAt || s.config.Mechanisms.NoResets {
+	if s.config.Mechanisms.NoResets {
+		return
+	}
+	if b.progress >= known.askedAt {
+		b.pool.noteRepeated(1)
 		return
 	}
 	caller := known.key.Caller.Addr()
@@ -153,7 +161,7 @@
 		}
 		callers += heard.callers
 	}
-	if callers < lostCallers || s.cutOff(now) {
+	if callers < b.pool.lostCallers() || s.cutOff(now) {
 		return false
 	}
 	b.lostUntil = now + lostTime
@@ -161,6 +169,16 @@
 	return true
 }
 
+// lostCallers returns how many callers must have sent data again in vain before one of the back
+// ends counts as lost.
+func (p *poolState) lostCallers() int {
+	vain := max(p.repeated.share(), p.repeatedLong.share())
+	if vain >= 1 {
+		return math.MaxInt
+	}
+	return max(lostCallers, int(math.Ceil(math.Log(lostByChance)/math.Log(vain))))
+}
+
 // cutOff tells whether as many back ends are silent here as show signs of life: then it may
 // well be this balancer that does not reach them.
 func (s *Steerer) cutOff(now time.Duration) bool {
--- a/internal/steering/lost_test.go
+++ b/internal/steering/lost_test.go
@@ -135,6 +135,30 @@
 	}
 }
 
+// TestWherePacketsAreLostMoreCallersAreWanted: if one request in five is sent again though its
+// back end is well, a few callers that do so at once are no evidence.
+func TestWherePacketsAreLostMoreCallersAreWanted(t *testing.T) {
+	f := silentFleet(t)
+	for caller := range 100 {
+		id := directory.Tag(2 + caller%5)
+		f.established(3000+caller, feedAddress, id, 1, 100)
+		if caller%5 == 0 {
+			f.pass(200 * time.Millisecond)
+			f.established(3000+caller, feedAddress, id, 1, 100)
+		}
+		f.established(3000+caller, feedAddress, id, 2, 0)
+	}
+	f.askInVain(0, 1, 2, 3, 4, 5)
+	if resets := f.steerer.TakeResets(); resets != nil {
+		t.Fatalf("six callers are enough: %+v", resets)
+	}
+	others := []Stall{{Backend: 1, Callers: 6, Silence: time.Second}}
+	f.steerer.HearStalls(f.now, otherBalancer, others)
+	if resets := f.steerer.TakeResets(); len(resets) != 6 {
+		t.Errorf("of twelve callers %d flows are reset", len(resets))
+	}
+}
+
 // TestAnotherBalancerContradicts: it has just heard of the back end.
 func TestAnotherBalancerContradicts(t *testing.T) {
 	f := silentFleet(t)
--- a/internal/steering/pool.go
+++ b/internal/steering/pool.go
@@ -7,6 +7,12 @@
 	// end that warms up, until answers have shown it, and coldGain the weight of each of those.
 	firstColdPace = 1.6
 	coldGain      = 0.1
+	// firstVain is which part of the requests at sound back ends is taken to be sent again in
+	// vain until it is seen, and counts as much as firstAsked requests.
+	firstVain  = 0.03
+	firstAsked = 10
+	// longDecay is what of a count over half a minute is left after a second.
+	longDecay = 0.97
 )
 
 // poolState is what is known of the back ends that announce one name together.
@@ -18,6 +24,9 @@
 	usual float64
 	// coldPace is how many times longer answers took while back ends warmed up.
 	coldPace float64
+	// repeated tells how often requests were sent again in vain though their back end was well:
+	// in the last seconds, which follows a change, and in the last half minute, which varies less.
+	repeated, repeatedLong repetitions
 }
 
 // poolOf returns the state of the back ends that announce the name.
@@ -36,3 +45,36 @@
 		p.coldPace += coldGain * (min(max(latency.Seconds()/p.usual, 1), slowMost) - p.coldPace)
 	}
 }
+
+// noteAsked counts a request that was begun.
+func (p *poolState) noteAsked() {
+	p.repeated.asked++
+	p.repeatedLong.asked++
+}
+
+// noteRepeated counts requests that callers sent again though their back end was well.
+func (p *poolState) noteRepeated(count int) {
+	p.repeated.vain += float64(count)
+	p.repeatedLong.vain += float64(count)
+}
+
+// decay lets a second pass.
+func (p *poolState) decay() {
+	p.repeated.decay(recentDecay)
+	p.repeatedLong.decay(longDecay)
+}
+
+// repetitions counts requests, and those that were sent again in vain, both decaying.
+type repetitions struct {
+	asked, vain float64
+}
+
+func (r *repetitions) decay(left float64) {
+	r.asked *= left
+	r.vain *= left
+}
+
+// share is the part of requests that is sent again in vain: firstVain until more is known.
+func (r *repetitions) share() float64 {
+	return (r.vain + firstVain*firstAsked) / (r.asked + firstAsked)
+}
--- a/internal/steering/record.go
+++ b/internal/steering/record.go
@@ -150,6 +150,7 @@
 	r.waiting, r.unanswered = true, false
 	r.askedAt = now
 	r.backend.active++
+	r.backend.pool.noteAsked()
 	if !r.begun {
 		// The first request was counted when the flow was placed.
 		r.begun = true
@@ -195,6 +196,9 @@
 	for _, state := range s.backends {
 		state.decay(now)
 	}
+	for _, pool := range s.pools {
+		pool.decay()
+	}
 	for key, group := range s.groups {
 		group.decay()
 		if group.count < forgetCount {
