--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -63,11 +63,11 @@
 	var err error
 	switch call.Kind {
 	case follow.ListStore:
-		outcome.Changes, err = n.listStore(ctx)
+		err = n.listStore(ctx)
 	case follow.WatchStore:
-		outcome.Changes, err = n.watchStore(ctx, call.Wait)
+		err = n.watchStore(ctx, call.Wait)
 	case follow.AskPeer:
-		outcome.Changes, outcome.Age, err = n.askPeer(ctx, call)
+		outcome.Age, err = n.askPeer(ctx, call)
 	}
 	switch {
 	case err != nil && n.overtaken.Load():
@@ -82,16 +82,18 @@
 	return outcome, err
 }
 
-func (n *Node) watchStore(ctx context.Context, wait time.Duration) (int, error) {
+func (n *Node) watchStore(ctx context.Context, wait time.Duration) error {
 	n.metrics.storeCalls.Inc()
 	changes, err := n.adapter.Source.Changes(ctx, n.revision(), wait)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	return n.apply(changes, "store", 0), nil
+	n.apply(changes, "store", 0)
+	return nil
 }
 
-func (n *Node) askPeer(ctx context.Context, call follow.Call) (int, time.Duration, error) {
+// askPeer returns how long ago the store confirmed what the peer told.
+func (n *Node) askPeer(ctx context.Context, call follow.Call) (time.Duration, error) {
 	have, age := n.have()
 	answer, err := (&peerSource{n, call.Peer}).changes(ctx, have, age, call.Wait)
 	if errors.Is(err, errPeerFull) {
@@ -100,17 +102,18 @@
 		n.beliefs.Unlock()
 	}
 	if err != nil {
-		return 0, 0, err
+		return 0, err
 	}
 	n.notePeerAnswer(call.Peer, answer)
-	if answer.Listing != nil {
+	switch {
+	case answer.Listing != nil:
 		n.replace(answer.Listing, call.Peer.String(), answer.Age)
-		return 0, answer.Age, nil
-	}
-	if answer.Changes == nil {
-		return 0, 0, errEmptyAnswer
+	case answer.Changes != nil:
+		n.apply(answer.Changes, call.Peer.String(), answer.Age)
+	default:
+		return 0, errEmptyAnswer
 	}
-	return n.apply(answer.Changes, call.Peer.String(), answer.Age), answer.Age, nil
+	return answer.Age, nil
 }
 
 // notePeerAnswer keeps what is known of the peer's freshness up to date.
@@ -180,15 +183,13 @@
 	}
 }
 
-// apply takes over changes that the store confirmed age ago, logs them and returns
-// how many there were.
-func (n *Node) apply(changes *directory.Changes, from string, age time.Duration) int {
+// apply takes over changes that the store confirmed age ago, and logs them.
+func (n *Node) apply(changes *directory.Changes, from string, age time.Duration) {
 	n.withDefaults(changes.Settings)
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
 	events := n.directory.Apply(n.now(), changes)
 	n.steerBy(events, from, age)
-	return len(events)
 }
 
 // steerBy lets packets be steered by what is believed now and tells those who
--- a/internal/edge/listing.go
+++ b/internal/edge/listing.go
@@ -8,25 +8,25 @@
 )
 
 // listStore reads everything from the store, page by page, and takes it over.
-func (n *Node) listStore(ctx context.Context) (int, error) {
+func (n *Node) listStore(ctx context.Context) error {
 	paged := follow.NewListing(n.now(), n.revision())
 	page, err := n.readPage(ctx, paged, "")
 	if err != nil {
-		return 0, err
+		return err
 	}
 	// The listing is complete up to the revision of its first page.
 	listing := &page.Listing
 	for page.Next != "" {
 		if !n.proceeds(ctx, paged) {
-			return 0, ErrListingLeft
+			return ErrListingLeft
 		}
 		if page, err = n.readPage(ctx, paged, page.Next); err != nil {
-			return 0, err
+			return err
 		}
 		addPage(listing, &page.Listing)
 	}
 	n.replace(listing, "store", 0)
-	return 0, nil
+	return nil
 }
 
 // addPage adds what is on a further page.
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -242,7 +242,8 @@
 	case err != nil:
 		end(follow.Outcome{Result: follow.Failed})
 	default:
-		end(follow.Outcome{Changes: n.apply(changes, age), Age: age})
+		n.apply(changes, age)
+		end(follow.Outcome{Age: age})
 	}
 }
 
@@ -256,10 +257,9 @@
 	n.believe(age)
 }
 
-func (n *node) apply(changes *directory.Changes, age time.Duration) int {
-	events := n.directory.Apply(n.now(), changes)
+func (n *node) apply(changes *directory.Changes, age time.Duration) {
+	n.directory.Apply(n.now(), changes)
 	n.believe(age)
-	return len(events)
 }
 
 // believe lets packets be steered by what is known now and tells those that wait.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -57,16 +57,17 @@
 	// pauseStep is how long a balancer that waits to ask the store pauses before it looks
 	// whether another one has heard of it meanwhile.
 	pauseStep = 200 * time.Millisecond
-	// gatherTime is the pause after changes, so that those that come together are
-	// read together.
-	gatherTime = 150 * time.Millisecond
-	// storeWaitPart and peerAgePart divide the contact bound: how long the store
-	// is waited for, and how old what another balancer tells may be. A call there is answered
-	// when the store has confirmed again what is believed, and ends before that is older, so that a balancer which heard nothing from its source asks
-	// the store peerSlack after that age at the latest: below the bounds of configuration
-	// and draining.
+	// storeWaitPart, peerAgePart and gatherPart divide the contact bound. The first is how long
+	// the store is waited for, from its last answer on. The second is how old what another
+	// balancer tells may be: a call there is answered when the store has confirmed again what is
+	// believed, and ends before that is older, so that a balancer which heard nothing from its
+	// source asks the store peerSlack after that age at the latest: below the bounds of
+	// configuration and draining. The third is the pause after an answer of the store that came
+	// early, so that changes which follow each other are read together: each read is priced, and
+	// what changes while servers are replaced need not be known faster.
 	storeWaitPart = 4
 	peerAgePart   = 2.5
+	gatherPart    = 10
 )
 
 // Kind says what a call does.
@@ -134,8 +135,6 @@
 // Outcome is the result of a call with what decides on the next one.
 type Outcome struct {
 	Result Result
-	// Changes is how many changes the answer brought.
-	Changes int
 	// Age is how long ago the store confirmed what another balancer told.
 	Age time.Duration
 }
@@ -165,6 +164,9 @@
 	// catchUp is set when the store failed and a peer may know more.
 	catchUp bool
 	pause   time.Duration
+	// asked is the revision at the last call, and answered when the store last answered.
+	asked    uint64
+	answered time.Duration
 	// storeAfter is when the store may be asked again after failures, and failures counts
 	// them since it last answered.
 	storeAfter time.Duration
@@ -202,6 +204,7 @@
 
 // Next returns the call to make.
 func (f *Follower) Next(state State) Call {
+	f.asked = state.Revision
 	if f.catchUp && state.Freshest.IsValid() {
 		f.catchUp = false
 		return Call{Kind: AskPeer, Peer: state.Freshest, Timeout: catchUpTime}
@@ -227,10 +230,17 @@
 	if f.historyLost || state.Revision == 0 {
 		return Call{Kind: ListStore, Timeout: listTimeout}
 	}
-	wait := f.contactBound / storeWaitPart
+	wait := f.watchTime(state.Now)
 	return Call{Kind: WatchStore, Wait: wait, Timeout: wait + changesSlack}
 }
 
+// watchTime returns how long the store is waited for: until storeWaitPart of the bound after its
+// last answer, so that a pause since then makes nothing older.
+func (f *Follower) watchTime(now time.Duration) time.Duration {
+	longest := f.contactBound / storeWaitPart
+	return min(max(f.answered+longest-now, longest/4), longest)
+}
+
 // Done takes the outcome of a call, with the state after it, and tells whether contact with the
 // store changed.
 func (f *Follower) Done(state State, call Call, outcome Outcome) Contact {
@@ -261,8 +271,9 @@
 	if call.Kind == ListStore {
 		f.historyLost = false
 	}
-	if outcome.Changes > 0 {
-		f.pause = gatherTime
+	f.answered = state.Now
+	if state.Revision != f.asked {
+		f.pause = f.contactBound / gatherPart
 	}
 	return f.regained()
 }
