--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -4,10 +4,10 @@
 //
 // Balancers follow each other so that the store is asked by few. A balancer follows
 // a live peer with a lower rank, if there is one, in its zone or, where the zone is
-// small, in any; ranks are a hash of the address. Ranks fall strictly along the chain, so that there are no
-// circles, and a balancer with no lower neighbour asks the store itself. Each keeps
-// only the neighbours nearest to itself by hash, so that tables stay small in large
-// zones, and about one balancer in maxZonePeers asks the store.
+// small or has none, in any; ranks are a hash of the address. Ranks fall strictly along the
+// chain, so that there are no circles, and a balancer with no lower neighbour asks the store
+// itself. Each keeps only the neighbours nearest to itself by hash, so that tables stay small in
+// large zones, and at most about one balancer in maxZonePeers asks the store.
 //
 // # Usage
 //
@@ -225,20 +225,27 @@
 }
 
 // Upstream returns the peer to follow: the lowest rank below the own, of the zone
-// or, where the zone is small, of any; alive, not leaving, with beliefs confirmed
+// or, where the zone is small or has none, of any; alive, not leaving, with beliefs confirmed
 // within maxAge. There is none where this balancer should ask the store itself.
 func (t *Table) Upstream(now, maxAge time.Duration) (*Peer, bool) {
 	alive := t.Alive(now)
 	anyZone := t.zonePeers(alive) < smallZone
+	var elsewhere *Peer
 	for _, peer := range alive {
 		if peer.rank >= t.rank {
-			return nil, false
+			break
 		}
-		if (anyZone || peer.Zone == t.self.Zone) && !peer.Leaving && now >= peer.refusedUntil && peer.Age(now) <= maxAge {
+		if peer.Leaving || now < peer.refusedUntil || peer.Age(now) > maxAge {
+			continue
+		}
+		if anyZone || peer.Zone == t.self.Zone {
 			return peer, true
 		}
+		if elsewhere == nil {
+			elsewhere = peer
+		}
 	}
-	return nil, false
+	return elsewhere, elsewhere != nil
 }
 
 // Place returns where this balancer stands by rank among the live ones of its zone that
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// TestLargeZonesFollowTheirOwn: only small zones follow balancers elsewhere.
+// TestLargeZonesFollowTheirOwn: only where nobody of the zone comes before by rank, or the zone
+// is small, are balancers elsewhere followed.
 func TestLargeZonesFollowTheirOwn(t *testing.T) {
 	ranked := byRank(smallZone + 3)
 	self := len(ranked) - 1
@@ -67,6 +68,17 @@
 	if peer, found := table.Upstream(0, maxAge); !found || peer.Control != ranked[1] {
 		t.Errorf("upstream %v %v", peer, found)
 	}
+	first := New(Introduction{Control: ranked[1], Zone: "a"})
+	for _, control := range ranked[2:] {
+		first.Heard(0, hello(control, "a", 0))
+	}
+	if peer, found := first.Upstream(0, maxAge); found {
+		t.Errorf("the first of all follows %v", peer)
+	}
+	first.Heard(0, hello(ranked[0], "b", 0))
+	if peer, found := first.Upstream(0, maxAge); !found || peer.Control != ranked[0] {
+		t.Errorf("the first of its zone follows %v %v", peer, found)
+	}
 }
 
 // TestAPeerThatRefusedIsNotFollowedForAWhile: the next rank is.
