--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -19,7 +19,7 @@
 // follow keeps the directory up to date until ctx ends, by the calls that package
 // follow decides on. Whatever a call returns, what is believed already stays in force.
 func (n *Node) follow(ctx context.Context) error {
-	follower := follow.New(n.config().Bounds.Contact, follow.StartPause(n.config().LinkMbps))
+	follower := follow.New(n.config().Bounds.Contact, follow.StartPause(n.config().LinkMbps, n.config().FirstStart))
 	for ctx.Err() == nil {
 		call := follower.Next(n.followState())
 		if call.Kind == follow.Pause {
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -57,6 +57,7 @@
 	{"cut-sources", "the balancers that others follow are cut off from the store while the others restart in turn and servers leave", (*world).cutSources},
 	{"start-in-outage", "balancers start while the store is silent", (*world).startInOutage},
 	{"lossy", "one datagram in twenty is lost while balancers come and go", (*world).lossy},
+	{"lossy-answers", "half of the first answers to opening packets and one datagram in fifty are lost while balancers come and go", (*world).lossyAnswers},
 	{"chaos", "a mix of all of this, drawn from the seed", (*world).chaos},
 }
 
@@ -327,6 +328,11 @@
 	w.rollingRestart()
 }
 
+func (w *world) lossyAnswers() {
+	w.At(trafficStart, func() { w.lostAnswers, w.loss = 0.5, 0.02 })
+	w.rollingRestart()
+}
+
 // chaos draws troubles by the seed.
 func (w *world) chaos() {
 	w.loss = 0.005
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -187,7 +187,9 @@
 		return
 	}
 	tag := f.tag
-	s.world.send(s.zone, "", func() { c.answered(s, f.sequence, tag) })
+	if sent > 0 || s.world.lostAnswers == 0 || !s.world.Chance(s.world.lostAnswers) {
+		s.world.send(s.zone, "", func() { c.answered(s, f.sequence, tag) })
+	}
 	s.world.After(repeat, func() { s.answerOpen(f, c, min(2*repeat, lastRepeat), sent+1) })
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -112,6 +112,8 @@
 	helloBytes int
 	// loss is the share of datagrams that are lost.
 	loss float64
+	// lostAnswers is the part of servers' first answers to opening packets that are lost.
+	lostAnswers float64
 }
 
 func newWorld(options Options) *world {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	f := follow.New(contactBound, follow.StartPause(linkMbps))
+//	f := follow.New(contactBound, follow.StartPause(linkMbps, firstStart))
 //	for {
 //		call := f.Next(state())
 //		contact := f.Done(state(), call, carryOut(call))
@@ -43,6 +43,8 @@
 	// to others when it starts; the driver varies it by half.
 	narrowLink  = 50
 	narrowPause = 200 * time.Millisecond
+	// firstPause is that time at the first start of the whole fleet, when no caller waits yet.
+	firstPause = time.Second
 	// firstRetry and lastRetry bound the time after a failed call until the store is asked again;
 	// it doubles.
 	firstRetry = 50 * time.Millisecond
@@ -155,8 +157,10 @@
 // Follower is the state between calls. It is not safe for concurrent use.
 type Follower struct {
 	contactBound time.Duration
-	// startPause is left of the time before the first listing.
+	// startPause is left of the time before the first listing, and settled is set once anything
+	// is known and others have had time to be found.
 	startPause time.Duration
+	settled    bool
 	// historyLost is set while the next call to the store must list.
 	historyLost bool
 	// storeTurn is set when a peer was of no use and the store is next.
@@ -183,12 +187,15 @@
 // StartPause returns how long a balancer that starts leaves the store to others. When a
 // whole fleet starts, the store's own link is shared by all that list; balancers with wide
 // links have everything in a moment if the others wait, and hand it on compressed. 0
-// Mbit/s is an unknown link.
-func StartPause(linkMbps float64) time.Duration {
-	if Narrow(linkMbps) {
-		return narrowPause
+// Mbit/s is an unknown link. firstStart is set when no balancer of the fleet has run before.
+func StartPause(linkMbps float64, firstStart bool) time.Duration {
+	switch {
+	case !Narrow(linkMbps):
+		return 0
+	case firstStart:
+		return firstPause
 	}
-	return 0
+	return narrowPause
 }
 
 // Narrow tells whether everything that is believed takes long over a link, so that
@@ -214,6 +221,13 @@
 		f.pause = max(f.pause, f.startPause)
 	}
 	f.startPause = 0
+	if state.Revision > 0 && !f.settled {
+		// What another balancer has just told is fresh, and whom to follow shows in a moment.
+		f.settled = true
+		if !state.Upstream.IsValid() {
+			f.pause = f.contactBound / gatherPart
+		}
+	}
 	if f.pause > 0 {
 		call := Call{Kind: Pause, Wait: f.pause}
 		f.pause = 0
