--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -42,7 +42,8 @@
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
 	now := n.now()
-	state := follow.State{Now: now, Revision: n.directory.Revision(), Spare: n.peers.HasLower(now)}
+	state := follow.State{Now: now, Revision: n.directory.Revision(), Spare: n.peers.HasLower(now), Failing: n.peers.Failing(now)}
+	state.Index, _, _ = n.peers.Place(now)
 	if peer, found := n.peers.Upstream(now, follow.MaxPeerAge(n.config().Bounds.Contact)); found {
 		state.Upstream, state.UpstreamAge = peer.Control, peer.Age(now)
 	}
@@ -159,9 +160,12 @@
 	switch contact {
 	case follow.Lost:
 		n.lostAt = n.now()
+		n.failing.Store(true)
 		n.changed.wake()
+		n.announce()
 		n.log.Warn("store lost", "revision", n.revision(), "call", call.Kind.String(), "error", err)
 	case follow.Regained:
+		n.failing.Store(false)
 		// Others wait to hear of it.
 		n.announce()
 		n.log.Info("store regained", "through", n.source, "revision", n.revision(), "after_ms", (n.now() - n.lostAt).Milliseconds())
--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -110,6 +110,7 @@
 		Zone:     n.config().Zone,
 		Started:  n.started.UnixNano(),
 		Leaving:  n.leaving.Load(),
+		Failing:  n.failing.Load(),
 		Revision: n.directory.Revision(),
 		StoreAge: n.beliefAge(),
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -103,6 +103,8 @@
 	learning atomic.Bool
 	// leaving is set by a planned stop.
 	leaving atomic.Bool
+	// failing is set while the store does not answer.
+	failing atomic.Bool
 	// waiting counts the datagrams that wait to be steered again.
 	waiting atomic.Int64
 	// lastPacket is when the last packet came, by now().
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -53,6 +53,8 @@
 	up      bool
 	frozen  bool
 	leaving bool
+	// failing is set while the store does not answer.
+	failing bool
 	// cutFromStore and cutFromPeers hold while the machine is cut off.
 	cutFromStore, cutFromPeers bool
 	queue                      []*datagram
@@ -84,7 +86,7 @@
 	w := n.world
 	n.run++
 	n.up, n.leaving, n.ready, n.learned = true, false, false, false
-	n.startedAt, n.newest, n.confirmed, n.told = w.Now, 0, follow.Confirmation{}, 0
+	n.startedAt, n.newest, n.confirmed, n.told, n.failing = w.Now, 0, follow.Confirmation{}, 0, false
 	n.polls, n.held, n.queue, n.giveUp, n.lag = nil, nil, nil, nil, follow.Lag{}
 	keep := flowLife + drainBound
 	if w.options.Without.Departed {
@@ -179,7 +181,8 @@
 
 // followState is what the next call is decided by.
 func (n *node) followState() follow.State {
-	state := follow.State{Now: n.now(), Revision: n.directory.Revision(), Spare: n.peers.HasLower(n.now())}
+	state := follow.State{Now: n.now(), Revision: n.directory.Revision(), Spare: n.peers.HasLower(n.now()), Failing: n.peers.Failing(n.now())}
+	state.Index, _, _ = n.peers.Place(n.now())
 	if peer, found := n.peers.Upstream(n.now(), follow.MaxPeerAge(contactBound)); found {
 		state.Upstream, state.UpstreamAge = peer.Control, peer.Age(n.now())
 	}
@@ -228,8 +231,14 @@
 
 func (n *node) finish(call follow.Call, after time.Duration, outcome follow.Outcome) {
 	n.whileRunning(after, func() {
-		if n.follower.Done(n.followState(), call, outcome) == follow.Lost {
+		switch n.follower.Done(n.followState(), call, outcome) {
+		case follow.Lost:
+			n.failing = true
 			n.wakePolls()
+			n.announce()
+		case follow.Regained:
+			n.failing = false
+			n.announce()
 		}
 		n.step()
 	})
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// announce sends a round of hellos at once.
+func (n *node) announce() {
+	if !n.world.options.Without.Peers {
+		n.sayHello()
+	}
+}
+
 // sayHello tells other balancers that this one lives.
 func (n *node) sayHello() {
 	now := n.now()
@@ -79,7 +86,7 @@
 	n.world.hellos++
 	now := n.now()
 	hello := &peers.Hello{
-		Control: n.control, Zone: n.zone, Started: int64(n.startedAt) + 1, Leaving: n.leaving,
+		Control: n.control, Zone: n.zone, Started: int64(n.startedAt) + 1, Leaving: n.leaving, Failing: n.failing,
 		Revision: n.directory.Revision(), StoreAge: n.confirmed.Age(now), Others: n.peers.Sample(now), Reply: target.Reply, Full: true,
 	}
 	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -54,6 +54,17 @@
 	// the store is back.
 	spareRetry     = 400 * time.Millisecond
 	longSpareRetry = 2 * time.Second
+	// firstAskers is how many balancers of a zone, by rank, ask the store once their source's word
+	// is old, turnStep one after the other; the rest waits the part restPart of the contact
+	// bound. By then they hear from those that were answered; where enoughFailing others say that
+	// the store does not answer them, it is an outage, and the rest asks restRetry later.
+	// That all of the first are cut off while the store serves others is what the number is for:
+	// where a third is turned away, as much as the users tell of, it is one in 6,000.
+	firstAskers   = 8
+	turnStep      = 30 * time.Millisecond
+	restPart      = 10
+	enoughFailing = 4
+	restRetry     = 8 * time.Second
 	// maxDoublings bounds how often that time doubles.
 	maxDoublings = 8
 	// pauseStep is how long a balancer that waits to ask the store pauses before it looks
@@ -107,8 +118,12 @@
 type State struct {
 	// Now is the time on the steady clock of the process.
 	Now time.Duration
-	// Spare is set while a live balancer of lower rank is known, which asks the store first.
+	// Spare is set while a live balancer of lower rank is known, which asks the store first, and
+	// Index is how many of those are of the own zone.
 	Spare bool
+	Index int
+	// Failing is how many other live balancers say that the store does not answer them.
+	Failing int
 	// Revision is up to where the beliefs are complete, 0 for nothing.
 	Revision uint64
 	// Upstream is the balancer to follow, Freshest one with a newer revision;
@@ -171,6 +186,11 @@
 	// asked is the revision at the last call, and answered when the store last answered.
 	asked    uint64
 	answered time.Duration
+	// turnAt is when it is this balancer's turn to ask the store in place of those that come first
+	// by rank, 0 while they are of use; outage is set once it has left its turn to them, since
+	// the store answers nobody.
+	turnAt time.Duration
+	outage bool
 	// storeAfter is when the store may be asked again after failures, and failures counts
 	// them since it last answered.
 	storeAfter time.Duration
@@ -244,10 +264,44 @@
 	if f.historyLost || state.Revision == 0 {
 		return Call{Kind: ListStore, Timeout: listTimeout}
 	}
+	if left := f.untilTurn(state); left > 0 {
+		return Call{Kind: Pause, Wait: min(left, pauseStep)}
+	}
 	wait := f.watchTime(state.Now)
 	return Call{Kind: WatchStore, Wait: wait, Timeout: wait + changesSlack}
 }
 
+// untilTurn returns how long those that come first by rank are left to ask the store, once what
+// they told is too old. One that has asked lately goes on.
+func (f *Follower) untilTurn(state State) time.Duration {
+	if !state.Spare || f.broken || f.answered > 0 && state.Now-f.answered < f.contactBound/2 {
+		return 0
+	}
+	switch {
+	case f.turnAt > 0:
+	case state.Index >= firstAskers:
+		f.turnAt = state.Now + f.contactBound/restPart
+	default:
+		f.turnAt = state.Now + time.Duration(state.Index)*turnStep
+	}
+	if left := f.turnAt - state.Now; left > 0 {
+		return left
+	}
+	f.turnAt = 0
+	if f.outage || !state.isOutage() {
+		return 0
+	}
+	f.outage, f.catchUp = true, true
+	f.storeAfter = state.Now + restRetry
+	return restRetry
+}
+
+// isOutage tells whether the store answers nobody, as far as is known, and whether it is others
+// that find out when it does again.
+func (s *State) isOutage() bool {
+	return s.Spare && s.Index >= firstAskers && s.Failing >= enoughFailing
+}
+
 // watchTime returns how long the store is waited for: until storeWaitPart of the bound after its
 // last answer, so that a pause since then makes nothing older.
 func (f *Follower) watchTime(now time.Duration) time.Duration {
@@ -294,7 +348,7 @@
 
 // regained notes that the store's word has arrived, directly or through a peer.
 func (f *Follower) regained() Contact {
-	f.failures, f.storeAfter = 0, 0
+	f.failures, f.storeAfter, f.turnAt, f.outage = 0, 0, 0, false
 	if !f.broken {
 		return Same
 	}
@@ -319,7 +373,9 @@
 	switch {
 	case call.Kind == ListStore:
 		last = lastListRetry
-	case state.Spare && f.failures == 0:
+	case state.isOutage():
+		return restRetry
+	case state.Spare && f.failures == 0 && state.Failing < enoughFailing:
 		return spareRetry
 	case state.Spare:
 		return longSpareRetry
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -287,3 +287,62 @@
 	step(t, followed, State{Revision: 7, Upstream: upstream}, AskPeer, Outcome{})
 	step(t, followed, State{Revision: 7}, WatchStore, Outcome{})
 }
+
+// outage is a state in which the source's word is old, at a balancer that index others of its zone
+// come before.
+func outage(index, failing int) State {
+	return State{Now: time.Minute, Revision: 5, Spare: true, Index: index, Failing: failing}
+}
+
+// asksAfter returns how long after its source's word is old a balancer asks the store, a minute
+// if it does not.
+func asksAfter(f *Follower, state State) time.Duration {
+	for begin := state.Now; state.Now < begin+time.Minute; {
+		call := f.Next(state)
+		if call.Kind == WatchStore {
+			return state.Now - begin
+		}
+		state.Now += call.Wait * 3 / 2
+		f.Done(state, call, Outcome{})
+	}
+	return time.Minute
+}
+
+// TestTheFirstByRankAskInPlaceOfOthers, one after the other, and all within the bounds of drain
+// and configuration unless several say that the store does not answer them either.
+func TestTheFirstByRankAskInPlaceOfOthers(t *testing.T) {
+	last := time.Duration(-1)
+	for index := range firstAskers {
+		after := asksAfter(running(), outage(index, enoughFailing))
+		if after <= last || after > firstAskers*turnStep*3/2 {
+			t.Errorf("the one at %d asks after %v, the one before after %v", index, after, last)
+		}
+		last = after
+	}
+	rest := asksAfter(running(), outage(firstAskers, enoughFailing-1))
+	if rest <= last || MaxPeerAge(bound)+peerSlack+rest > bound*3/4 {
+		t.Errorf("another one asks after %v, the first ones up to %v", rest, last)
+	}
+	if rest := asksAfter(running(), outage(firstAskers, enoughFailing)); rest < restRetry || rest > 2*restRetry {
+		t.Errorf("in an outage another one asks after %v", rest)
+	}
+	f := running()
+	f.broken = true
+	if asked := retries(t, f, outage(firstAskers, enoughFailing), 3*restRetry); asked > 3 {
+		t.Errorf("and %d times in %v", asked, 3*restRetry)
+	}
+}
+
+// TestOneThatOthersLeanOnGoesOn: it asks without a pause while it is answered.
+func TestOneThatOthersLeanOnGoesOn(t *testing.T) {
+	f := running()
+	state := outage(5, 0)
+	step(t, f, state, Pause, Outcome{})
+	state.Now += time.Second
+	for range 5 {
+		step(t, f, state, WatchStore, Outcome{})
+		state.Now += bound / storeWaitPart
+	}
+	state.Upstream = upstream
+	step(t, f, state, AskPeer, Outcome{})
+}
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -19,6 +19,8 @@
 	Started int64
 	// Leaving is set during a planned stop.
 	Leaving bool
+	// Failing is set while the store does not answer the sender.
+	Failing bool
 	// Revision is up to where the sender's beliefs are complete.
 	Revision uint64
 	// StoreAge is how long ago the store confirmed them, directly or along the chain.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -281,6 +281,17 @@
 	return len(alive) > 0 && alive[0].rank < t.rank
 }
 
+// Failing returns how many live peers say that the store does not answer them.
+func (t *Table) Failing(now time.Duration) int {
+	count := 0
+	for _, peer := range t.Alive(now) {
+		if peer.Failing {
+			count++
+		}
+	}
+	return count
+}
+
 // Freshest returns the live peer with the newest revision above the given one, of
 // those that did not send this balancer away lately.
 func (t *Table) Freshest(now time.Duration, above uint64) (*Peer, bool) {
