--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -26,6 +26,22 @@
 	}
 }
 
+// TestRulesHoldInLargeZones, in which most balancers leave the store to a few when it fails.
+func TestRulesHoldInLargeZones(t *testing.T) {
+	for _, name := range []string{"store-silent", "store-cut", "store-turns-away", "cut-sources"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			scenario, found := Find(name)
+			if !found {
+				t.Fatalf("no scenario %q", name)
+			}
+			for _, violation := range Run(Options{Scenario: scenario, Seed: 1, BalancersPerZone: 14}).Violations {
+				t.Error(violation)
+			}
+		})
+	}
+}
+
 // TestServedShare bounds what each trouble may cost, so that a mechanism that
 // stops working shows even where it breaks no rule. What is served varies from seed to seed, so
 // that the mean of several is judged: of eight, and of more where its spread is as large as what
@@ -94,6 +110,7 @@
 		{"calls have deadlines, or peers tell more", "store-cut", 1, Without{Deadlines: true, Peers: true}, ruleDrain},
 		{"a listing tells by difference what is gone", "store-compact", 1, Without{Differences: true}, ruleDrain},
 		{"a listing anew is finished", "store-compact", 1, Without{ListingsAnew: true}, ruleDrain},
+		{"balancers that are turned away hear from others", "store-turns-away", 1, Without{Peers: true}, ruleDrain},
 		{"copies wait that another balancer may have placed", "lossy-answers", 1, Without{CopyWait: true}, ruleFlow},
 		{"copies go where the first one went, or pins hold", "lossy", 1, Without{CopyMemory: true, Pins: true}, ruleFlow},
 		{"copies go where the first one went", "lossy", 1, Without{CopyMemory: true}, ruleFlow},
--- a/internal/emulator/listing.go
+++ b/internal/emulator/listing.go
@@ -75,7 +75,7 @@
 		if !s.reachable(n) {
 			return
 		}
-		if s.fault == storeBusy || s.fault == storeReset {
+		if s.refuses(n) {
 			s.world.After(clientDelay, func() { reply(nil, errStore) })
 			return
 		}
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -57,7 +57,9 @@
 	failing bool
 	// cutFromStore and cutFromPeers hold while the machine is cut off.
 	cutFromStore, cutFromPeers bool
-	queue                      []*datagram
+	// turnedAway is set while the store refuses this machine's calls and serves others.
+	turnedAway bool
+	queue      []*datagram
 	// disturbed is when the machine was last disturbed.
 	disturbed time.Duration
 
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -55,6 +55,7 @@
 	{"store-compact", "the store loses its history after changes that no watch heard of", (*world).storeCompact},
 	{"store-cut", "half of the balancers are cut off from the store, and the cut heals", (*world).storeCut},
 	{"cut-sources", "the balancers that others follow are cut off from the store while the others restart in turn and servers leave", (*world).cutSources},
+	{"store-turns-away", "the store turns a third of the balancers away, those that others follow among them, while servers leave and settings change", (*world).storeTurnsAway},
 	{"start-in-outage", "balancers start while the store is silent", (*world).startInOutage},
 	{"lossy", "one datagram in twenty is lost while balancers come and go", (*world).lossy},
 	{"lossy-answers", "half of the first answers to opening packets and one datagram in fifty are lost while balancers come and go", (*world).lossyAnswers},
@@ -278,14 +279,36 @@
 	})
 }
 
-// cutSources cuts those that most others follow off from the store alone, so that they go
-// on telling what they know, and restarts the others in turn while servers leave.
-func (w *world) cutSources() {
-	const cutTime = 14 * time.Second
+// ranked returns the balancers in the order in which others follow them.
+func (w *world) ranked() []*node {
 	ranked := slices.Clone(w.nodes)
 	slices.SortFunc(ranked, func(a, b *node) int {
 		return cmp.Compare(peers.RankOf(a.control), peers.RankOf(b.control))
 	})
+	return ranked
+}
+
+// storeTurnsAway has those that are turned away count as in touch: others are served, and tell them.
+func (w *world) storeTurnsAway() {
+	const awayTime = 9 * time.Second
+	ranked := w.ranked()
+	away := ranked[:len(ranked)/3]
+	w.At(troubleStart, func() { w.store.turnAway(away, true) })
+	w.At(troubleStart+awayTime, func() { w.store.turnAway(away, false) })
+	w.release()
+	for i := range 4 {
+		w.At(troubleStart+time.Duration(2*i+1)*time.Second, func() {
+			w.operator.probe = []string{serviceFeed, ""}[i%2]
+			w.operator.publish()
+		})
+	}
+}
+
+// cutSources cuts those that most others follow off from the store alone, so that they go
+// on telling what they know, and restarts the others in turn while servers leave.
+func (w *world) cutSources() {
+	const cutTime = 14 * time.Second
+	ranked := w.ranked()
 	sources, others := ranked[:2], ranked[2:]
 	w.At(troubleStart, func() {
 		for _, n := range sources {
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -184,6 +184,23 @@
 	return s.fault != storeSilent && !n.cutFromStore
 }
 
+// refuses tells whether a node's calls are refused at once.
+func (s *store) refuses(n *node) bool {
+	return s.fault == storeBusy || s.fault == storeReset || n.turnedAway
+}
+
+// turnAway refuses the calls of some nodes, those that wait too, and serves all others.
+func (s *store) turnAway(nodes []*node, away bool) {
+	for _, n := range nodes {
+		n.turnedAway = away
+	}
+	for _, watcher := range s.watchers {
+		if watcher.node.turnedAway {
+			s.answer(watcher, nil, errStore)
+		}
+	}
+}
+
 // latency is how long the store takes to answer.
 func (s *store) latency() time.Duration {
 	if s.fault == storeSlow {
@@ -211,7 +228,7 @@
 		}
 		watcher := &watcher{node: n, after: after, reply: reply}
 		switch {
-		case s.fault == storeBusy || s.fault == storeReset:
+		case s.refuses(n):
 			s.answer(watcher, nil, errStore)
 			return
 		case after < s.forgotten:
