--- /dev/null
+++ b/internal/follow/call.go
@@ -0,0 +1,92 @@
+package follow
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Kind says what a call does.
+type Kind uint8
+
+// The kinds of calls.
+const (
+	// ListStore reads everything from the store.
+	ListStore Kind = iota
+	// WatchStore waits at the store for changes.
+	WatchStore
+	// AskPeer waits at another balancer for changes.
+	AskPeer
+	// Pause waits and asks nobody.
+	Pause
+)
+
+// String returns the kind's word in logs.
+func (k Kind) String() string {
+	return [...]string{"list store", "watch store", "ask peer", "pause"}[k]
+}
+
+// Call is what to do next.
+type Call struct {
+	Kind Kind
+	// Peer is who is asked by AskPeer.
+	Peer netip.AddrPort
+	// Wait is how long the other side may hold the answer back, or the pause.
+	Wait time.Duration
+	// Timeout is when the call has failed, unless its answer has begun to arrive.
+	Timeout time.Duration
+}
+
+// State is what Next decides by.
+type State struct {
+	// Now is the time on the steady clock of the process.
+	Now time.Duration
+	// Spare is set while a live balancer of lower rank is known, which asks the store first, and
+	// Index is how many of those are of the own zone.
+	Spare bool
+	Index int
+	// Failing is how many other live balancers say that the store does not answer them.
+	Failing int
+	// Revision is up to where the beliefs are complete, 0 for nothing.
+	Revision uint64
+	// Upstream is the balancer to follow, Freshest one with a newer revision;
+	// invalid where there is none.
+	Upstream, Freshest netip.AddrPort
+	// UpstreamAge is how long ago the store confirmed what Upstream believes.
+	UpstreamAge time.Duration
+}
+
+// Result is how a call ended.
+type Result uint8
+
+// The results of calls.
+const (
+	// Done means that the call was answered.
+	Done Result = iota
+	// HistoryLost means that the store knows no changes since the revision.
+	HistoryLost
+	// Failed means that there was no useful answer.
+	Failed
+	// Overtaken means that the call was given up because another balancer has
+	// known more for a while.
+	Overtaken
+)
+
+// Outcome is the result of a call with what decides on the next one.
+type Outcome struct {
+	Result Result
+	// Age is how long ago the store confirmed what another balancer told.
+	Age time.Duration
+}
+
+// Contact tells what became of the contact with the store.
+type Contact uint8
+
+// The changes of contact.
+const (
+	// Same is no change.
+	Same Contact = iota
+	// Lost means that the store no longer answers.
+	Lost
+	// Regained means that it does again.
+	Regained
+)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -12,10 +12,7 @@
 //	}
 package follow
 
-import (
-	"net/netip"
-	"time"
-)
+import "time"
 
 const (
 	// listTimeout bounds one listing. Each of its calls has a bound of its own: when
@@ -38,13 +35,6 @@
 	peerSlack   = 300 * time.Millisecond
 	// catchUpTime bounds a call at a balancer that knows more.
 	catchUpTime = time.Second
-	// narrowLink is the bandwidth below which a whole configuration takes long, in
-	// Mbit/s, and narrowPause how long a balancer behind such a link leaves the store
-	// to others when it starts; the driver varies it by half.
-	narrowLink  = 50
-	narrowPause = 200 * time.Millisecond
-	// firstPause is that time at the first start of the whole fleet, when no caller waits yet.
-	firstPause = time.Second
 	// firstRetry and lastRetry bound the time after a failed call until the store is asked again;
 	// it doubles.
 	firstRetry = 50 * time.Millisecond
@@ -54,17 +44,6 @@
 	// the store is back.
 	spareRetry     = 400 * time.Millisecond
 	longSpareRetry = 2 * time.Second
-	// firstAskers is how many balancers of a zone, by rank, ask the store once their source's word
-	// is old, turnStep one after the other; the rest waits the part restPart of the contact
-	// bound. By then they hear from those that were answered; where enoughFailing others say that
-	// the store does not answer them, it is an outage, and the rest asks restRetry later.
-	// That all of the first are cut off while the store serves others is what the number is for:
-	// where a third is turned away, as much as the users tell of, it is one in 6,000.
-	firstAskers   = 8
-	turnStep      = 30 * time.Millisecond
-	restPart      = 10
-	enoughFailing = 4
-	restRetry     = 8 * time.Second
 	// maxDoublings bounds how often that time doubles.
 	maxDoublings = 8
 	// pauseStep is how long a balancer that waits to ask the store pauses before it looks
@@ -83,92 +62,6 @@
 	gatherPart    = 10
 )
 
-// Kind says what a call does.
-type Kind uint8
-
-// The kinds of calls.
-const (
-	// ListStore reads everything from the store.
-	ListStore Kind = iota
-	// WatchStore waits at the store for changes.
-	WatchStore
-	// AskPeer waits at another balancer for changes.
-	AskPeer
-	// Pause waits and asks nobody.
-	Pause
-)
-
-// String returns the kind's word in logs.
-func (k Kind) String() string {
-	return [...]string{"list store", "watch store", "ask peer", "pause"}[k]
-}
-
-// Call is what to do next.
-type Call struct {
-	Kind Kind
-	// Peer is who is asked by AskPeer.
-	Peer netip.AddrPort
-	// Wait is how long the other side may hold the answer back, or the pause.
-	Wait time.Duration
-	// Timeout is when the call has failed, unless its answer has begun to arrive.
-	Timeout time.Duration
-}
-
-// State is what Next decides by.
-type State struct {
-	// Now is the time on the steady clock of the process.
-	Now time.Duration
-	// Spare is set while a live balancer of lower rank is known, which asks the store first, and
-	// Index is how many of those are of the own zone.
-	Spare bool
-	Index int
-	// Failing is how many other live balancers say that the store does not answer them.
-	Failing int
-	// Revision is up to where the beliefs are complete, 0 for nothing.
-	Revision uint64
-	// Upstream is the balancer to follow, Freshest one with a newer revision;
-	// invalid where there is none.
-	Upstream, Freshest netip.AddrPort
-	// UpstreamAge is how long ago the store confirmed what Upstream believes.
-	UpstreamAge time.Duration
-}
-
-// Result is how a call ended.
-type Result uint8
-
-// The results of calls.
-const (
-	// Done means that the call was answered.
-	Done Result = iota
-	// HistoryLost means that the store knows no changes since the revision.
-	HistoryLost
-	// Failed means that there was no useful answer.
-	Failed
-	// Overtaken means that the call was given up because another balancer has
-	// known more for a while.
-	Overtaken
-)
-
-// Outcome is the result of a call with what decides on the next one.
-type Outcome struct {
-	Result Result
-	// Age is how long ago the store confirmed what another balancer told.
-	Age time.Duration
-}
-
-// Contact tells what became of the contact with the store.
-type Contact uint8
-
-// The changes of contact.
-const (
-	// Same is no change.
-	Same Contact = iota
-	// Lost means that the store no longer answers.
-	Lost
-	// Regained means that it does again.
-	Regained
-)
-
 // Follower is the state between calls. It is not safe for concurrent use.
 type Follower struct {
 	contactBound time.Duration
@@ -204,26 +97,6 @@
 	return &Follower{contactBound: contactBound, startPause: startPause}
 }
 
-// StartPause returns how long a balancer that starts leaves the store to others. When a
-// whole fleet starts, the store's own link is shared by all that list; balancers with wide
-// links have everything in a moment if the others wait, and hand it on compressed. 0
-// Mbit/s is an unknown link. firstStart is set when no balancer of the fleet has run before.
-func StartPause(linkMbps float64, firstStart bool) time.Duration {
-	switch {
-	case !Narrow(linkMbps):
-		return 0
-	case firstStart:
-		return firstPause
-	}
-	return narrowPause
-}
-
-// Narrow tells whether everything that is believed takes long over a link, so that
-// few may be told it at once.
-func Narrow(linkMbps float64) bool {
-	return linkMbps > 0 && linkMbps < narrowLink
-}
-
 // MaxPeerAge is how old beliefs of another balancer may be, for a contact bound.
 func MaxPeerAge(contactBound time.Duration) time.Duration {
 	return time.Duration(float64(contactBound) / peerAgePart)
@@ -271,37 +144,6 @@
 	return Call{Kind: WatchStore, Wait: wait, Timeout: wait + changesSlack}
 }
 
-// untilTurn returns how long those that come first by rank are left to ask the store, once what
-// they told is too old. One that has asked lately goes on.
-func (f *Follower) untilTurn(state State) time.Duration {
-	if !state.Spare || f.broken || f.answered > 0 && state.Now-f.answered < f.contactBound/2 {
-		return 0
-	}
-	switch {
-	case f.turnAt > 0:
-	case state.Index >= firstAskers:
-		f.turnAt = state.Now + f.contactBound/restPart
-	default:
-		f.turnAt = state.Now + time.Duration(state.Index)*turnStep
-	}
-	if left := f.turnAt - state.Now; left > 0 {
-		return left
-	}
-	f.turnAt = 0
-	if f.outage || !state.isOutage() {
-		return 0
-	}
-	f.outage, f.catchUp = true, true
-	f.storeAfter = state.Now + restRetry
-	return restRetry
-}
-
-// isOutage tells whether the store answers nobody, as far as is known, and whether it is others
-// that find out when it does again.
-func (s *State) isOutage() bool {
-	return s.Spare && s.Index >= firstAskers && s.Failing >= enoughFailing
-}
-
 // watchTime returns how long the store is waited for: until storeWaitPart of the bound after its
 // last answer, so that a pause since then makes nothing older.
 func (f *Follower) watchTime(now time.Duration) time.Duration {
@@ -382,42 +224,3 @@
 	}
 	return min(firstRetry<<min(f.failures, maxDoublings), last)
 }
-
-const (
-	// overtakenAfter is how long another balancer must have known more before a call
-	// is given up: the store tells all within a moment of each other.
-	overtakenAfter = 400 * time.Millisecond
-	// maxOvertaken bounds that time, which doubles with each call given up without
-	// progress: what brings the news may be a long transfer over a narrow link.
-	maxOvertaken = 3200 * time.Millisecond
-)
-
-// Lag notices that others have known more for a while, so that the source that is
-// asked at present must be cut off. The zero value is ready.
-type Lag struct {
-	// own is the revision that others are ahead of since then.
-	own      uint64
-	since    time.Duration
-	ahead    bool
-	patience time.Duration
-}
-
-// Note takes the own revision and one that another balancer told. It returns true
-// when the present call should be given up.
-func (l *Lag) Note(now time.Duration, own, told uint64) bool {
-	if told <= own {
-		if l.ahead && l.own != own {
-			l.ahead = false
-		}
-		return false
-	}
-	if !l.ahead || l.own != own {
-		*l = Lag{own: own, since: now, ahead: true, patience: overtakenAfter}
-		return false
-	}
-	if now-l.since < l.patience {
-		return false
-	}
-	l.since, l.patience = now, min(2*l.patience, maxOvertaken)
-	return true
-}
