While the store is left to others, whoever knows more is asked

A balancer that leaves its turn to the first of its zone asked those that know more once; if all of these are turned away and only balancers that come later by rank are served, it would have heard of a change when its own turn comes, up to 8 s later. Change: before each pause for the store a live balancer with a newer revision is asked, if there is one. Test: TestWhoKnowsMoreIsAskedMeanwhile.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -73,7 +73,7 @@
 	historyLost bool
 	// storeTurn is set when a peer was of no use and the store is next.
 	storeTurn bool
-	// catchUp is set when the store failed and a peer may know more.
+	// catchUp is set while the store is of no use and a peer may know more.
 	catchUp bool
 	pause   time.Duration
 	// asked is the revision at the last call, and answered when the store last answered.
@@ -132,18 +132,25 @@
 	}
 	f.storeTurn = false
 	if left := f.storeAfter - state.Now; left > 0 {
-		return Call{Kind: Pause, Wait: min(left, pauseStep)}
+		return f.waitForStore(left)
 	}
 	if f.historyLost || state.Revision == 0 {
 		return Call{Kind: ListStore, Timeout: listTimeout}
 	}
 	if left := f.untilTurn(state); left > 0 {
-		return Call{Kind: Pause, Wait: min(left, pauseStep)}
+		return f.waitForStore(left)
 	}
 	wait := f.watchTime(state.Now)
 	return Call{Kind: WatchStore, Wait: wait, Timeout: wait + changesSlack}
 }
 
+// waitForStore returns a pause before the store may be asked. Meanwhile others that know more
+// are.
+func (f *Follower) waitForStore(left time.Duration) Call {
+	f.catchUp = true
+	return Call{Kind: Pause, Wait: min(left, pauseStep)}
+}
+
 // watchTime returns how long the store is waited for: until storeWaitPart of the bound after its
 // last answer, so that a pause since then makes nothing older.
 func (f *Follower) watchTime(now time.Duration) time.Duration {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -346,3 +346,17 @@
 	state.Upstream = upstream
 	step(t, f, state, AskPeer, Outcome{})
 }
+
+// TestWhoKnowsMoreIsAskedMeanwhile: while the store is left to others, and also long after.
+func TestWhoKnowsMoreIsAskedMeanwhile(t *testing.T) {
+	f := running()
+	state := outage(firstAskers, enoughFailing)
+	for range 10 {
+		step(t, f, state, Pause, Outcome{})
+		state.Now += pauseStep
+	}
+	state.Freshest = freshest
+	if call := f.Next(state); call.Kind != AskPeer || call.Peer != freshest {
+		t.Errorf("call %+v", call)
+	}
+}
--- a/internal/follow/turn.go
+++ b/internal/follow/turn.go
@@ -36,7 +36,7 @@
 	if f.outage || !state.isOutage() {
 		return 0
 	}
-	f.outage, f.catchUp = true, true
+	f.outage = true
 	f.storeAfter = state.Now + restRetry
 	return restRetry
 }
