--- /dev/null
+++ b/internal/steering/established.go
@@ -0,0 +1,115 @@
+package steering
+
+import (
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/errkind"
+)
+
+// steerEstablished forwards a packet of a flow that a back end has answered.
+func (s *Steerer) steerEstablished(now time.Duration, packet *Packet) Verdict {
+	known := s.flows[packet.Flow]
+	if known == nil {
+		return s.adopt(now, packet)
+	}
+	if s.givesUp(now, known.backend, packet) {
+		s.forget(known)
+		return refuse(errkind.BackendLost)
+	}
+	verdict := Verdict{Action: Forward}
+	if known.member.Tag != packet.Tag {
+		verdict.Repinned = s.reconcile(known, packet)
+	}
+	verdict.Backend = known.member
+	s.observe(now, known, packet)
+	if packet.Kind == Abort {
+		s.forget(known)
+	}
+	return verdict
+}
+
+// adopt learns from its tag a flow that came from another balancer.
+func (s *Steerer) adopt(now time.Duration, packet *Packet) Verdict {
+	member := s.tagged(packet)
+	if member == nil {
+		return drop(errkind.UnknownTag)
+	}
+	if packet.Kind == Abort {
+		return Verdict{Action: Forward, Backend: member}
+	}
+	state := s.stateOf(member)
+	if s.givesUp(now, state, packet) {
+		return refuse(errkind.BackendLost)
+	}
+	known := &record{
+		key:      packet.Flow,
+		member:   member,
+		backend:  state,
+		begun:    true,
+		started:  now,
+		lastSeen: now,
+		// What the caller has received before is no sign of life now.
+		acknowledged: packet.Acknowledged,
+		sequence:     packet.Sequence,
+	}
+	if s.remember(known) {
+		s.observe(now, known, packet)
+	}
+	return Verdict{Action: Forward, Backend: member}
+}
+
+// observe learns from a packet of a flow what its back end does.
+func (s *Steerer) observe(now time.Duration, known *record, packet *Packet) {
+	if known.observe(now, packet) {
+		s.noteStall(now, known)
+		if s.lost(now, known.backend) {
+			s.resetWaiting(known.backend)
+		}
+	}
+	if known.waiting {
+		s.awaited.add(known)
+	}
+}
+
+// reconcile decides between the tag of a packet and the back end that the flow is
+// remembered at. While a flow opens, the tag tells which back end answered. Later
+// a differing tag comes from a second back end that answered a late copy of the
+// opening packet; the flow rests on the first, which alone holds its data.
+func (s *Steerer) reconcile(known *record, packet *Packet) (repinned bool) {
+	if !known.opening && !s.config.Mechanisms.NoPins {
+		return true
+	}
+	member := s.tagged(packet)
+	if member == nil {
+		return false
+	}
+	known.backend.leave(known)
+	known.member, known.backend = member, s.stateOf(member)
+	known.backend.join(known)
+	return false
+}
+
+// tagged returns the back end that the packet's tag names, nil for none. Where
+// two share a tag, the one that the packet's service uses is meant.
+func (s *Steerer) tagged(packet *Packet) *directory.Member {
+	members := s.view.Tagged(packet.Tag)
+	if len(members) == 0 {
+		return nil
+	}
+	if len(members) == 1 || s.view.Settings == nil {
+		return members[0]
+	}
+	service := s.view.Settings.ServiceAt(packet.Flow.Service)
+	if service == nil {
+		return members[0]
+	}
+	for _, member := range members {
+		for i := range service.Groups {
+			if service.Groups[i].Discover == member.Group {
+				return member
+			}
+		}
+	}
+	return members[0]
+}
