--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -287,3 +287,35 @@
 		}
 	}
 }
+
+// TestChainsAreShortAndFewAskTheStore in a fleet of zones larger than the tables.
+func TestChainsAreShortAndFewAskTheStore(t *testing.T) {
+	const zones, perZone, fewest, longest = 6, 40, 4, 8
+	ranked := byRank(zones * perZone)
+	zoneOf := func(i int) string { return string(rune('a' + i%zones)) }
+	upstream := map[netip.AddrPort]netip.AddrPort{}
+	asking := 0
+	for i, self := range ranked {
+		table := New(Introduction{Control: self, Zone: zoneOf(i)})
+		for j, other := range ranked {
+			table.Heard(0, hello(other, zoneOf(j), 0))
+		}
+		if peer, found := table.Upstream(0, maxAge); found {
+			upstream[self] = peer.Control
+		} else {
+			asking++
+		}
+	}
+	if asking > fewest {
+		t.Errorf("%d of %d ask the store", asking, len(ranked))
+	}
+	for _, control := range ranked {
+		length := 0
+		for next, found := upstream[control]; found && length <= longest; next, found = upstream[next] {
+			length++
+		}
+		if length > longest {
+			t.Fatalf("the chain from %v is longer than %d", control, longest)
+		}
+	}
+}
