A datagram that is steered again counts once

Cause: review. Datagrams that waited or were held passed the counter of packets twice, and counted as arriving, which a planned stop waits for. Change: what comes from the socket is counted where it is read. Tests: TestDecodeLeavesThatAPacketHasWaited (a codec that cleared it would let copies wait for ever); tests of edge.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -271,6 +271,8 @@
 			continue
 		}
 		started := n.now()
+		n.metrics.packets.Inc()
+		n.lastPacket.Store(int64(started))
 		packet.Waited = false
 		n.handle(started, buffer[:headroom+length], packet, answer)
 		if count%sampleEvery == 0 {
@@ -281,8 +283,6 @@
 
 // handle decides on one datagram and sends what follows.
 func (n *Node) handle(now time.Duration, buffer []byte, packet *steering.Packet, answer []byte) {
-	n.metrics.packets.Inc()
-	n.lastPacket.Store(int64(now))
 	datagram := buffer[n.adapter.Codec.Headroom():]
 	if err := n.adapter.Codec.Decode(datagram, packet); err != nil {
 		n.metrics.dropped[errkind.Malformed].Inc()
