What a balancer asks by is worked out in one place

Cause: the process and the emulator each made a follow.State from the same table of peers, so that the emulator could have judged another one than the process goes by. Change: follow.StateOf makes it for both; nothing else.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -41,16 +41,7 @@
 func (n *Node) followState() follow.State {
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
-	now := n.now()
-	state := follow.State{Now: now, Revision: n.directory.Revision(), Spare: n.peers.HasLower(now), Failing: n.peers.Failing(now)}
-	state.Index, _, _ = n.peers.Place(now)
-	if peer, found := n.peers.Upstream(now, follow.MaxPeerAge(n.config().Bounds.Contact)); found {
-		state.Upstream, state.UpstreamAge = peer.Control, peer.Age(now)
-	}
-	if peer, found := n.peers.Freshest(now, state.Revision); found {
-		state.Freshest = peer.Control
-	}
-	return state
+	return follow.StateOf(n.now(), n.directory.Revision(), n.peers, n.config().Bounds.Contact)
 }
 
 // carryOut makes one call and takes over what it returns.
--- a/internal/emulator/node_follow.go
+++ b/internal/emulator/node_follow.go
@@ -17,15 +17,7 @@
 
 // followState is what the next call is decided by.
 func (n *node) followState() follow.State {
-	state := follow.State{Now: n.now(), Revision: n.directory.Revision(), Spare: n.peers.HasLower(n.now()), Failing: n.peers.Failing(n.now())}
-	state.Index, _, _ = n.peers.Place(n.now())
-	if peer, found := n.peers.Upstream(n.now(), follow.MaxPeerAge(contactBound)); found {
-		state.Upstream, state.UpstreamAge = peer.Control, peer.Age(n.now())
-	}
-	if peer, found := n.peers.Freshest(n.now(), state.Revision); found {
-		state.Freshest = peer.Control
-	}
-	return state
+	return follow.StateOf(n.now(), n.directory.Revision(), n.peers, contactBound)
 }
 
 // carryOut makes a call and takes its outcome.
--- a/internal/follow/call.go
+++ b/internal/follow/call.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"gaugeyard/internal/peers"
 )
 
 // Kind says what a call does.
@@ -55,6 +57,20 @@
 	UpstreamAge time.Duration
 }
 
+// StateOf returns the state of a balancer that believes what it does up to a revision, from what
+// it knows of others. contactBound is the platform's bound for being in touch.
+func StateOf(now time.Duration, revision uint64, known *peers.Table, contactBound time.Duration) State {
+	state := State{Now: now, Revision: revision, Spare: known.HasLower(now), Failing: known.Failing(now)}
+	state.Index, _, _ = known.Place(now)
+	if peer, found := known.Upstream(now, MaxPeerAge(contactBound)); found {
+		state.Upstream, state.UpstreamAge = peer.Control, peer.Age(now)
+	}
+	if peer, found := known.Freshest(now, revision); found {
+		state.Freshest = peer.Control
+	}
+	return state
+}
+
 // Result is how a call ended.
 type Result uint8
 
