A datagram that was kept is handled in one place

Cause: what was held at a start and copies that waited were copied and steered again by twin code. Change: handleKept serves both. Measured: tests of edge.

--- a/internal/edge/holding.go
+++ b/internal/edge/holding.go
@@ -64,12 +64,15 @@
 
 // handleHeld decides anew on the datagrams that came before anything was known.
 func (n *Node) handleHeld() {
-	headroom := n.adapter.Codec.Headroom()
-	buffer := make([]byte, headroom+maxDatagram)
-	answer := make([]byte, maxDatagram)
-	packet := &steering.Packet{}
 	for _, datagram := range n.holding.release(n.now()) {
-		length := copy(buffer[headroom:], datagram)
-		n.handle(n.now(), buffer[:headroom+length], packet, answer)
+		n.handleKept(datagram, false)
 	}
 }
+
+// handleKept decides anew on a datagram that was kept; waited is set after a verdict to wait.
+func (n *Node) handleKept(datagram []byte, waited bool) {
+	headroom := n.adapter.Codec.Headroom()
+	buffer := make([]byte, headroom+maxDatagram)
+	length := copy(buffer[headroom:], datagram)
+	n.handle(n.now(), buffer[:headroom+length], &steering.Packet{Waited: waited}, make([]byte, maxDatagram))
+}
--- a/internal/edge/waiting.go
+++ b/internal/edge/waiting.go
@@ -23,8 +23,5 @@
 // steerAgain steers a datagram that has waited.
 func (n *Node) steerAgain(datagram []byte) {
 	defer n.waiting.Add(-1)
-	headroom := n.adapter.Codec.Headroom()
-	buffer := make([]byte, headroom+maxDatagram)
-	length := copy(buffer[headroom:], datagram)
-	n.handle(n.now(), buffer[:headroom+length], &steering.Packet{Waited: true}, make([]byte, maxDatagram))
+	n.handleKept(datagram, true)
 }
