--- a/internal/steering/herd_test.go
+++ b/internal/steering/herd_test.go
@@ -24,13 +24,18 @@
 func zoneOf(t testing.TB, balancers, servers int) ([]*Steerer, netip.AddrPort) {
 	t.Helper()
 	beliefs, address := zoneBeliefs(t, servers)
+	return steerersOf(beliefs, balancers), address
+}
+
+// steerersOf returns the balancers of one zone that have these beliefs.
+func steerersOf(beliefs *directory.Directory, balancers int) []*Steerer {
 	var zone []*Steerer
 	for range balancers {
 		s := New(Config{Zone: "a", FlowLife: time.Minute})
 		s.SetView(beliefs.View())
 		zone = append(zone, s)
 	}
-	return zone, address
+	return zone
 }
 
 // zoneBeliefs returns what balancers of one zone believe of its servers.
--- a/internal/steering/rush_test.go
+++ b/internal/steering/rush_test.go
@@ -21,12 +21,7 @@
 		part               = 500 * time.Millisecond
 	)
 	beliefs, address := zoneBeliefs(t, servers)
-	var zone []*Steerer
-	for range balancers {
-		s := New(Config{Zone: "a", FlowLife: time.Minute})
-		s.SetView(beliefs.View())
-		zone = append(zone, s)
-	}
+	zone := steerersOf(beliefs, balancers)
 	const newcomer = settings.BackendID(servers + 1)
 	joined := false
 	counts := map[time.Duration]int{}
