Connections that fall silent: emulator, stand-in, soak; all idle ones are dropped at a time-out

Cause: the users' connections may go silent for good while new ones work. Tests that fail first showed two faults: an answer to an asker that does not read held one of 48 places of followers (3 over narrow links) until the kernel gives up; and after a time-out the next call took the next idle connection, silent as well, and waited again. Change: answers to balancers have a deadline; a time-out drops all idle connections. The emulator takes sizes of zones and loads, and measures the spread of requests over back ends.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -71,9 +71,21 @@
 	case err != nil:
 		outcome.Result = follow.Failed
 	}
+	if outcome.Result == follow.Failed || n.overtaken.Load() {
+		n.dropIdleConnections()
+	}
 	return outcome, err
 }
 
+// dropIdleConnections lets the next calls open new connections, to the store and to other
+// balancers: connections fall silent together without a sign to either end, and each pooled one
+// would cost the next call its time-out (a call to the store up to a quarter of the contact bound
+// and 0.5 s). A new connection costs a round trip.
+func (n *Node) dropIdleConnections() {
+	n.peerClient.CloseIdleConnections()
+	n.adapter.Source.Reconnect()
+}
+
 func (n *Node) watchStore(ctx context.Context, wait time.Duration) error {
 	n.metrics.storeCalls.Inc()
 	changes, err := n.adapter.Source.Changes(ctx, n.revision(), wait)
@@ -146,7 +158,6 @@
 		n.log.Warn("peer lost", "peer", call.Peer, "revision", n.revision(), "error", err)
 	case err != nil:
 		n.metrics.storeFailures.Inc()
-		n.adapter.Source.Reconnect()
 	}
 	switch contact {
 	case follow.Lost:
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -98,6 +98,7 @@
 			return
 		}
 		n.log.Warn("peer gave nothing", "peer", control, "error", err)
+		n.peerClient.CloseIdleConnections()
 		n.beliefs.Lock()
 		n.peers.Refused(n.now(), control)
 		next, found := n.peers.Freshest(n.now(), 0)
--- a/internal/edge/serving.go
+++ b/internal/edge/serving.go
@@ -44,10 +44,19 @@
 			return
 		}
 		defer n.followers.Add(-1)
+		endWriting(w, maxPeerWait+follow.TransferTimeout)
 		next.ServeHTTP(w, r)
 	})
 }
 
+// endWriting bounds how long the answer may take to write from now on. A connection that has
+// fallen silent, or an asker that does not read, would hold the place of a follower until the
+// kernel gives up, which takes many minutes; the asker gives up after follow.TransferTimeout.
+func endWriting(w http.ResponseWriter, within time.Duration) {
+	// It fails only where the connection has no deadlines, as in tests that write to memory.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(within))
+}
+
 // servePeerChanges answers as soon as there are changes, when the store has confirmed again
 // what is believed, when the wait is over, or when this balancer loses the store, so that the
 // asker looks elsewhere.
@@ -109,6 +118,7 @@
 	if body.compressed {
 		w.Header().Set("Content-Encoding", encodingGzip)
 	}
+	endWriting(w, follow.TransferTimeout)
 	n.metrics.answerBytes.Add(len(body.bytes))
 	// The asker may be gone; it asks again elsewhere.
 	_, _ = w.Write(body.bytes)
--- /dev/null
+++ b/internal/edge/silent_test.go
@@ -0,0 +1,120 @@
+package edge
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/follow"
+	"gaugeyard/internal/settings"
+	"gaugeyard/internal/standin/tagged"
+)
+
+// serveSilenceable serves another balancer's control address on connections that can fall silent.
+func serveSilenceable(t *testing.T, handler http.Handler) (netip.AddrPort, *tagged.Silencer) {
+	t.Helper()
+	silencer := &tagged.Silencer{}
+	server := httptest.NewUnstartedServer(handler)
+	server.Listener = silencer.Listener(server.Listener)
+	server.Start()
+	t.Cleanup(server.CloseClientConnections)
+	return netip.MustParseAddrPort(server.Listener.Addr().String()), silencer
+}
+
+// TestATimeoutDropsEveryPooledConnection: connections fall silent together, and one time-out
+// must not be followed by another one for each of them.
+func TestATimeoutDropsEveryPooledConnection(t *testing.T) {
+	source := newTestNode(t, &fakeSource{})
+	source.directory.Replace(0, &directory.Listing{Revision: 7, Settings: &directory.Settings{Version: 1, Revision: 7, Tree: settings.Tree{"": {}}}})
+	// Two calls at once, so that two connections are open.
+	both := make(chan struct{}, 2)
+	control, silencer := serveSilenceable(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/both" {
+			both <- struct{}{}
+			for len(both) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			return
+		}
+		source.controlHandler().ServeHTTP(w, r)
+	}))
+	node := newTestNode(t, &fakeSource{})
+	done := make(chan error, 2)
+	for range 2 {
+		go func() {
+			reply, err := node.peerClient.Get("http://" + control.String() + "/both")
+			if err == nil {
+				err = reply.Body.Close()
+			}
+			done <- err
+		}()
+	}
+	for range 2 {
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	silencer.Silence()
+	call := follow.Call{Kind: follow.AskPeer, Peer: control, Wait: 50 * time.Millisecond, Timeout: 300 * time.Millisecond}
+	if outcome, _ := node.carryOut(t.Context(), call); outcome.Result != follow.Failed {
+		t.Fatalf("a call on a silent connection ends with %v", outcome.Result)
+	}
+	if outcome, err := node.carryOut(t.Context(), call); outcome.Result != follow.Done {
+		t.Errorf("the call after it ends with %v: %v", outcome.Result, err)
+	}
+}
+
+// TestAFollowerThatDoesNotReadGivesItsPlaceBack: a large answer to a connection that has fallen
+// silent must not hold one of the few places of followers.
+func TestAFollowerThatDoesNotReadGivesItsPlaceBack(t *testing.T) {
+	t.Parallel()
+	const smallBuffer = 4096
+	node := newTestNode(t, &fakeSource{})
+	random := rand.New(rand.NewPCG(1, 1))
+	listing := &directory.Listing{Revision: 7, Settings: &directory.Settings{Version: 1, Revision: 7, Tree: settings.Tree{"": {}}}}
+	for range 20_000 {
+		listing.Records = append(listing.Records, directory.Record{Revision: 1, Backend: directory.Backend{ID: settings.BackendID(random.Uint64() >> 24), Group: "feed", Zone: "a"}})
+	}
+	node.directory.Replace(0, listing)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: node.controlHandler(), ConnState: func(connection net.Conn, _ http.ConnState) {
+		_ = connection.(*net.TCPConn).SetWriteBuffer(smallBuffer)
+	}}
+	go server.Serve(listener)
+	t.Cleanup(func() { _ = server.Close() })
+	connection, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	_ = connection.(*net.TCPConn).SetReadBuffer(smallBuffer)
+	if _, err := io.WriteString(connection, "GET "+pathDirectory+" HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, time.Second, "the answer begins", func() bool { return node.followers.Load() == 1 })
+	time.Sleep(100 * time.Millisecond)
+	if node.followers.Load() == 0 {
+		t.Fatal("the answer fits the buffers; the test shows nothing")
+	}
+	await(t, follow.TransferTimeout+time.Second, "the place is given back", func() bool { return node.followers.Load() == 0 && node.listings.Load() == 0 })
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, most time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(most); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Errorf("not within %v: %s", most, what)
+}
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -17,6 +18,11 @@
 	// firstRepeat and lastRepeat bound the pause before missing packets are sent again.
 	firstRepeat = 200 * time.Millisecond
 	lastRepeat  = 1600 * time.Millisecond
+	// leastPause and mostPause bound the time between two requests of a stream.
+	leastPause = 400 * time.Millisecond
+	mostPause  = 1200 * time.Millisecond
+	// variedMost bounds how much more or less often than usual a stream asks.
+	variedMost = 4
 	// maxTries is how many flows a request may use.
 	maxTries = 3
 )
@@ -98,11 +104,11 @@
 // startClients begins the load.
 func (w *world) startClients() {
 	for _, zone := range w.zones {
-		for range streamsPerZone {
-			w.After(w.Between(0, 2*time.Second), func() { w.streamLoop(zone, nil) })
+		for range int(streamsPerZone * w.options.Traffic) {
+			w.After(w.Between(0, 2*time.Second), func() { w.streamLoop(zone, nil, w.pausesTimes()) })
 		}
-		w.arrivals(zone, lookupRate, lookup)
-		w.arrivals(zone, uploadRate, upload)
+		w.arrivals(zone, lookupRate*w.options.Traffic, lookup)
+		w.arrivals(zone, uploadRate*w.options.Traffic, upload)
 	}
 }
 
@@ -116,8 +122,9 @@
 	})
 }
 
-// streamLoop lets one client ask again and again over one flow.
-func (w *world) streamLoop(zone string, over *clientFlow) {
+// streamLoop lets one client ask again and again over one flow; pauses multiplies the time
+// between its requests.
+func (w *world) streamLoop(zone string, over *clientFlow, pauses float64) {
 	if w.Now >= w.options.Scenario.length()-quietEnd {
 		return
 	}
@@ -127,8 +134,21 @@
 		if !ok || used == nil || used.closed {
 			used = nil
 		}
-		w.After(w.Between(400*time.Millisecond, 1200*time.Millisecond), func() { w.streamLoop(zone, used) })
+		if used != nil && w.options.Leave > 0 && w.Chance(w.options.Leave) {
+			used.finish()
+			used = nil
+		}
+		pause := time.Duration(float64(w.Between(leastPause, mostPause)) * pauses)
+		w.After(pause, func() { w.streamLoop(zone, used, pauses) })
+	}
+}
+
+// pausesTimes draws how many times longer than usual a stream pauses.
+func (w *world) pausesTimes() float64 {
+	if !w.options.Varied {
+		return 1
 	}
+	return math.Pow(variedMost, 2*w.Random.Float64()-1)
 }
 
 // begin starts a request, over an open flow if there is one.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -28,7 +28,7 @@
 
 // TestRulesHoldInLargeZones, in which most balancers leave the store to a few when it fails.
 func TestRulesHoldInLargeZones(t *testing.T) {
-	for _, name := range []string{"store-silent", "store-cut", "store-turns-away", "cut-sources"} {
+	for _, name := range []string{"store-silent", "store-cut", "store-turns-away", "cut-sources", "connections-silent"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			scenario, found := Find(name)
@@ -108,6 +108,7 @@
 		{"calls have deadlines", "store-silent", 1, Without{Deadlines: true}, ruleConfig},
 		{"calls have deadlines", "store-silent-late", 1, Without{Deadlines: true}, ruleLost},
 		{"calls have deadlines, or peers tell more", "store-cut", 1, Without{Deadlines: true, Peers: true}, ruleDrain},
+		{"calls have deadlines, or peers tell more", "connections-silent", 1, Without{Deadlines: true, Peers: true}, ruleConfig},
 		{"a listing tells by difference what is gone", "store-compact", 1, Without{Differences: true}, ruleDrain},
 		{"a listing anew is finished", "store-compact", 1, Without{ListingsAnew: true}, ruleDrain},
 		{"balancers that are turned away hear from others", "store-turns-away", 1, Without{Peers: true}, ruleDrain},
--- a/internal/emulator/listing.go
+++ b/internal/emulator/listing.go
@@ -21,9 +21,12 @@
 
 // listPage reads the next page of a listing into what was read of it so far.
 func (n *node) listPage(paged *follow.Listing, listing *directory.Listing, after settings.BackendID, end func(follow.Outcome)) {
-	toAsker := n.toThisRun()
-	n.world.store.list(n, after, func(answer *page, err error) {
-		toAsker(func() { n.listed(paged, listing, after, answer, err, end) })
+	toAsker, over := n.toThisRun(), n.connect(storeAddress)
+	n.world.store.list(n, over, after, func(answer *page, err error) {
+		toAsker(func() {
+			n.release(over)
+			n.listed(paged, listing, after, answer, err, end)
+		})
 	})
 }
 
@@ -69,10 +72,10 @@
 }
 
 // list answers a page of a listing, or not at all.
-func (s *store) list(n *node, after settings.BackendID, reply func(*page, error)) {
+func (s *store) list(n *node, over *connection, after settings.BackendID, reply func(*page, error)) {
 	s.calls++
 	s.world.After(clientDelay, func() {
-		if !s.reachable(n) {
+		if !s.reachable(n) || over.silent() {
 			return
 		}
 		if s.refuses(n) {
@@ -81,7 +84,7 @@
 		}
 		s.world.After(s.latency(), func() {
 			answer := s.pageAfter(after)
-			s.deliver(n, func() { reply(answer, nil) })
+			s.deliver(n, over, func() { reply(answer, nil) })
 		})
 	})
 }
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -73,6 +73,8 @@
 	told    uint64
 	learned bool
 	lag     follow.Lag
+	// idle are the process's connections that no call uses.
+	idle map[netip.AddrPort]*connection
 	// giveUp ends the follower's present call.
 	giveUp func(follow.Outcome)
 	ready  bool
@@ -90,6 +92,7 @@
 	n.up, n.leaving, n.ready, n.learned = true, false, false, false
 	n.startedAt, n.newest, n.confirmed, n.told, n.failing = w.Now, 0, follow.Confirmation{}, 0, false
 	n.polls, n.held, n.queue, n.giveUp, n.lag = nil, nil, nil, nil, follow.Lag{}
+	n.idle = map[netip.AddrPort]*connection{}
 	keep := flowLife + drainBound
 	if w.options.Without.Departed {
 		keep = -1
--- a/internal/emulator/node_follow.go
+++ b/internal/emulator/node_follow.go
@@ -32,6 +32,10 @@
 			return
 		}
 		answered = true
+		if outcome.Result == follow.Failed || outcome.Result == follow.Overtaken {
+			// The idle connections may have fallen silent as well.
+			clear(n.idle)
+		}
 		n.finish(call, 0, outcome)
 	}
 	n.giveUp = end
@@ -49,8 +53,12 @@
 		n.listPage(follow.NewListing(n.now(), known), &directory.Listing{}, 0, end)
 	case follow.WatchStore:
 		answer := n.toThisRun()
-		n.world.store.watch(n, state.Revision, call.Wait, func(changes *directory.Changes, err error) {
-			answer(func() { n.changed(changes, 0, err, end) })
+		over := n.connect(storeAddress)
+		n.world.store.watch(n, over, state.Revision, call.Wait, func(changes *directory.Changes, err error) {
+			answer(func() {
+				n.release(over)
+				n.changed(changes, 0, err, end)
+			})
 		})
 	case follow.AskPeer:
 		n.askPeer(call, end)
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"net/netip"
 	"time"
 
 	"gaugeyard/internal/follow"
@@ -15,8 +16,20 @@
 		return
 	}
 	after, base, age := n.directory.Revision(), n.directory.SettingsRevision(), n.confirmed.Age(n.now())
-	toAsker := n.toThisRun()
+	run, over := n.toThisRun(), n.connect(call.Peer)
+	toAsker := func(do func()) {
+		if over.silent() {
+			return
+		}
+		run(func() {
+			n.release(over)
+			do()
+		})
+	}
 	n.world.After(n.world.delay(n.zone, peer.zone), func() {
+		if over.silent() {
+			return
+		}
 		peer.whileRunning(0, func() {
 			peer.whenChanged(after, age, call.Wait, func() { n.world.After(n.world.delay(n.zone, peer.zone), peer.answerFor(n, toAsker, after, base, end)) })
 		})
@@ -82,21 +95,31 @@
 	}
 }
 
-func (n *node) helloTo(target peers.Target) {
-	n.world.hellos++
-	now := n.now()
-	hello := &peers.Hello{
+// hello is what this balancer says of itself, without others and loads.
+func (n *node) hello() *peers.Hello {
+	return &peers.Hello{
 		Control: n.control, Zone: n.zone, Started: int64(n.startedAt) + 1, Leaving: n.leaving, Failing: n.failing,
-		Revision: n.directory.Revision(), StoreAge: n.confirmed.Age(now), Others: n.peers.Sample(now), Reply: target.Reply, Full: true,
+		Revision: n.directory.Revision(), StoreAge: n.confirmed.Age(n.now()),
 	}
+}
+
+func (n *node) helloTo(target peers.Target) {
+	now := n.now()
+	hello := n.hello()
+	hello.Others, hello.Reply, hello.Full = n.peers.Sample(now), target.Reply, true
 	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
 	hello.Stalls = n.steerer.Stalls(now, peers.MaxStalls)
 	hello.Loads = peers.LoadsOf(n.steerer.RecentLoad(peers.MaxLoads))
 	if !target.Full {
 		hello = hello.Short()
 	}
+	n.sendHello(target.Control, hello)
+}
+
+func (n *node) sendHello(control netip.AddrPort, hello *peers.Hello) {
+	n.world.hellos++
 	n.world.helloBytes += helloSize(hello)
-	peer := n.world.nodeAt(target.Control)
+	peer := n.world.nodeAt(control)
 	if peer == nil || n.cutFromPeers || peer.cutFromPeers {
 		return
 	}
@@ -137,7 +160,9 @@
 		n.confirmed.Note(n.now(), hello.StoreAge)
 	}
 	if n.peers.Heard(n.now(), hello) || hello.Reply {
-		n.helloTo(peers.Target{Control: hello.Control, Full: true})
+		reply := n.hello()
+		reply.Others = n.peers.ForAsker(n.now(), hello)
+		n.sendHello(hello.Control, reply)
 	}
 	if hello.Revision == 0 || n.learned {
 		return
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -4,6 +4,9 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"gonum.org/v1/gonum/floats"
+	"gonum.org/v1/gonum/stat"
 )
 
 // Result is what one run measured. Its JSON names are stable.
@@ -18,6 +21,8 @@
 	// Busiest is the largest number of requests begun at a feed server over the
 	// mean, of servers that were there all the time; 0 when there were none.
 	Busiest float64 `json:"busiest_over_mean"`
+	// Spread is the standard deviation of the same numbers over their mean.
+	Spread float64 `json:"spread_over_mean"`
 	// SmallShare is the part of lookups that ran at the smaller group of "weights".
 	SmallShare float64 `json:"small_share"`
 	StoreCalls int     `json:"store_calls"`
@@ -84,27 +89,33 @@
 	}
 	result.InAim = float64(inAimCount) / float64(len(w.truth.requests))
 	result.Served = float64(served) / float64(len(w.truth.requests))
-	result.Busiest, result.SmallShare = w.balance()
+	result.Busiest, result.Spread = w.evenness()
+	result.SmallShare = w.smallShare()
 	return result
 }
 
-// balance measures how evenly feed servers were used, and what part of the lookups
-// after the change of weights went to the smaller group.
-func (w *world) balance() (busiest, smallShare float64) {
-	most, sum, count := 0, 0, 0
+// evenness measures how evenly the feed servers were used that were there all the time: the
+// busiest, and the standard deviation, over the mean.
+func (w *world) evenness() (busiest, spread float64) {
+	var begun []float64
 	for _, s := range w.incarnations {
 		if s.service != serviceFeed || s.coldAt > 0 || s.crashed || s.draining || s.slow != 1 || s.hung {
 			continue
 		}
-		most = max(most, s.begun)
-		sum += s.begun
-		count++
+		begun = append(begun, float64(s.begun))
 	}
-	if sum == 0 {
+	if len(begun) < 2 || floats.Sum(begun) == 0 {
 		return 0, 0
 	}
+	mean, deviation := stat.MeanStdDev(begun, nil)
+	return floats.Max(begun) / mean, deviation / mean
+}
+
+// smallShare measures what part of the lookups after the change of weights went to the smaller
+// group.
+func (w *world) smallShare() float64 {
 	total := w.truth.lookupsAt[serviceFeed] + w.truth.lookupsAt[serviceUpload]
-	return float64(most) * float64(count) / float64(sum), float64(w.truth.lookupsAt[serviceUpload]) / float64(max(1, total))
+	return float64(w.truth.lookupsAt[serviceUpload]) / float64(max(1, total))
 }
 
 // balancerIP is the address of an added balancer.
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -53,6 +53,7 @@
 	{"store-cut", "half of the balancers are cut off from the store, and the cut heals", (*world).storeCut},
 	{"cut-sources", "the balancers that others follow are cut off from the store while the others restart in turn and servers leave", (*world).cutSources},
 	{"store-turns-away", "the store turns a third of the balancers away, those that others follow among them, while servers leave and settings change", (*world).storeTurnsAway},
+	{"connections-silent", "all open connections fall silent, again and again, while servers leave and settings change", (*world).connectionsSilent},
 	{"start-in-outage", "balancers start while the store is silent", (*world).startInOutage},
 	{"lossy", "one datagram in twenty is lost while balancers come and go", (*world).lossy},
 	{"lossy-answers", "half of the first answers to opening packets and one datagram in fifty are lost while balancers come and go", (*world).lossyAnswers},
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -45,6 +45,7 @@
 // watcher waits for changes.
 type watcher struct {
 	node  *node
+	over  *connection
 	after uint64
 	reply func(*directory.Changes, error)
 	done  bool
@@ -209,10 +210,11 @@
 	return storeAnswer
 }
 
-// deliver carries an answer to a node, unless it is cut off meanwhile.
-func (s *store) deliver(n *node, run func()) {
+// deliver carries an answer to a node, unless it is cut off or the connection falls silent
+// meanwhile.
+func (s *store) deliver(n *node, over *connection, run func()) {
 	s.world.After(clientDelay, func() {
-		if s.reachable(n) {
+		if s.reachable(n) && !over.silent() {
 			run()
 		}
 	})
@@ -220,13 +222,13 @@
 
 // watch answers changes after a revision as soon as there are any, or none when
 // the wait is over.
-func (s *store) watch(n *node, after uint64, wait time.Duration, reply func(*directory.Changes, error)) {
+func (s *store) watch(n *node, over *connection, after uint64, wait time.Duration, reply func(*directory.Changes, error)) {
 	s.calls++
 	s.world.After(clientDelay, func() {
-		if !s.reachable(n) {
+		if !s.reachable(n) || over.silent() {
 			return
 		}
-		watcher := &watcher{node: n, after: after, reply: reply}
+		watcher := &watcher{node: n, over: over, after: after, reply: reply}
 		switch {
 		case s.refuses(n):
 			s.answer(watcher, nil, errStore)
@@ -266,7 +268,7 @@
 			break
 		}
 	}
-	s.world.After(s.latency(), func() { s.deliver(w.node, func() { w.reply(changes, err) }) })
+	s.world.After(s.latency(), func() { s.deliver(w.node, w.over, func() { w.reply(changes, err) }) })
 }
 
 // since collects the changes after a revision.
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -29,6 +29,13 @@
 	Traced netip.AddrPort
 	// BalancersPerZone and Zones size the fleet; 0 stands for 3.
 	BalancersPerZone, Zones int
+	// Servers and Traffic multiply the servers and the load of each zone; 0 stands for 1.
+	Servers, Traffic float64
+	// Leave is the part of its requests after which a stream's client ends the flow and asks
+	// for the next one over a new flow; 0 is never.
+	Leave float64
+	// Varied draws for each stream how often it asks, up to variedMost times more or less often.
+	Varied bool
 }
 
 // Without names mechanisms that are turned off.
@@ -112,6 +119,8 @@
 	helloBytes int
 	// loss is the share of datagrams that are lost.
 	loss float64
+	// silences counts the times that all open connections fell silent.
+	silences int
 	// lostAnswers is the part of servers' first answers to opening packets that are lost.
 	lostAnswers float64
 }
@@ -123,6 +132,12 @@
 	if options.Zones == 0 {
 		options.Zones = 3
 	}
+	if options.Servers == 0 {
+		options.Servers = 1
+	}
+	if options.Traffic == 0 {
+		options.Traffic = 1
+	}
 	w := &world{
 		Clock:   virtual.New(options.Seed),
 		options: options,
@@ -149,10 +164,10 @@
 		for j := range w.options.BalancersPerZone {
 			w.addNode(zone, netip.AddrFrom4([4]byte{10, byte(i + 1), 0, byte(10 + j)}))
 		}
-		for range feedServers {
+		for range int(feedServers * w.options.Servers) {
 			w.addServer(serviceFeed, zone)
 		}
-		for range uploadServers {
+		for range int(uploadServers * w.options.Servers) {
 			w.addServer(serviceUpload, zone)
 		}
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -58,6 +58,9 @@
 	// StoreDown is the store silent to all, StoreCompacted its history lost.
 	StoreDown      Kind = "store-down"
 	StoreCompacted Kind = "store-compacted"
+	// ConnectionsSilent lets all connections that are open fall silent, to the store and between
+	// balancers; new ones work.
+	ConnectionsSilent Kind = "connections-silent"
 	// ServerReplaced leaves by its state, ServerQuiet by its entry alone, ServerCrashed
 	// without a word, and its address goes to another service.
 	ServerReplaced Kind = "server-replaced"
@@ -74,9 +77,13 @@
 var Kinds = []Kind{
 	Stop, Kill, KillAll, Pause, Reload, Cut, CutInward, CutOutward, Lossy, Delayed, PeersCut, PeersDelayed, PeersReset,
 	StoreSilent, StoreBusy, StoreThrottling, StoreResetting, StoreSlow, StoreLosing, StoreDown, StoreCompacted,
-	ServerReplaced, ServerQuiet, ServerCrashed, RouteAdded, RouteDropped, RoutesStorm, RoutesMany,
+	ServerReplaced, ServerQuiet, ServerCrashed, RouteAdded, RouteDropped, RoutesStorm, RoutesMany, ConnectionsSilent,
 }
 
+// drawnKinds are those of which a phase has some by chance. Connections that fall silent come once
+// in each phase and are drawn apart, so that the schedules of earlier seeds stay what they were.
+var drawnKinds = Kinds[:len(Kinds)-1]
+
 // Event is one trouble of a schedule.
 type Event struct {
 	At   time.Duration `json:"at"`
@@ -101,21 +108,27 @@
 	// leastFor and mostFor bound how long a trouble lasts.
 	leastFor = 300 * time.Millisecond
 	mostFor  = 5 * time.Second
+	// silentStream names the random numbers by which ConnectionsSilent is drawn.
+	silentStream = 1 << 32
 )
 
 // Draw returns the schedule of a seed: phases of trouble with quiet between them. Equal
 // arguments give equal schedules.
 func Draw(seed uint64, length time.Duration, balancers int) []Event {
-	drawn := rand.New(rand.NewPCG(seed, uint64(balancers)))
+	drawn, apart := rand.New(rand.NewPCG(seed, uint64(balancers))), rand.New(rand.NewPCG(seed, silentStream))
 	var events []Event
 	for phase := calmStart; phase < length-calmEnd; phase += phaseTime + quietTime {
 		end := min(phase+phaseTime, length-calmEnd)
 		for at := phase; at < end; at += time.Duration(drawn.Int64N(int64(2 * meanGap))) {
 			events = append(events, Event{
-				At: at.Round(time.Millisecond), Kind: Kinds[drawn.IntN(len(Kinds))], Balancer: drawn.IntN(balancers),
+				At: at.Round(time.Millisecond), Kind: drawnKinds[drawn.IntN(len(drawnKinds))], Balancer: drawn.IntN(balancers),
 				For: (leastFor + time.Duration(drawn.Int64N(int64(mostFor-leastFor)))).Round(time.Millisecond),
 			})
 		}
+		if end > phase {
+			at := phase + time.Duration(apart.Int64N(int64(end-phase)))
+			events = append(events, Event{At: at.Round(time.Millisecond), Kind: ConnectionsSilent, For: leastFor})
+		}
 		// Edits and servers that leave in the quiet show whether they are in force in time.
 		for _, kind := range []Kind{RouteAdded, RouteDropped, ServerReplaced, ServerQuiet} {
 			at := end + time.Duration(drawn.Int64N(int64(quietTime/4)))
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -32,6 +32,8 @@
 		r.tasks.Go(func() { r.strikeProcess(ctx, event) })
 	case PeersCut, PeersDelayed, PeersReset:
 		r.strikePeers(event)
+	case ConnectionsSilent:
+		r.silenceConnections()
 	case StoreDown:
 		r.world.StopStore(event.For)
 	case StoreCompacted:
@@ -74,6 +76,18 @@
 	}
 }
 
+// silenceConnections lets the connections of all balancers fall silent at once.
+func (r *runner) silenceConnections() {
+	if r.options.Sabotage == SabotageStale {
+		// The stale store must stay what the balancer hears of.
+		return
+	}
+	r.world.SilenceConnections()
+	for _, relay := range r.relays {
+		relay.Silence()
+	}
+}
+
 func (r *runner) strikePeers(event Event) {
 	if r.options.Sabotage == SabotageStale {
 		// Nobody may tell the balancer what is new.
--- a/internal/standin/tagged/actions.go
+++ b/internal/standin/tagged/actions.go
@@ -139,6 +139,17 @@
 	time.AfterFunc(length, func() { w.fronts[balancer].set(SoundStore) })
 }
 
+// SilenceConnections lets the connections between balancers and the store fall silent that are
+// open now, without a sign to either end; new ones work. It counts as a reset of the connections
+// of all balancers, and the connections between them are the caller's to silence at once.
+func (w *World) SilenceConnections() {
+	for i, front := range w.fronts {
+		w.disturb(i, 0)
+		front.silencer.Silence()
+	}
+	w.say("open connections fall silent")
+}
+
 // FaultLink changes the link between a balancer and routers and servers for a while.
 func (w *World) FaultLink(balancer int, fault LinkFault, length time.Duration) {
 	w.disturb(balancer, length)
--- a/internal/standin/tagged/front.go
+++ b/internal/standin/tagged/front.go
@@ -44,6 +44,8 @@
 	// changed is closed when the fault changes.
 	changed chan struct{}
 	count   int
+	// silencer reaches the connections of the balancer.
+	silencer Silencer
 }
 
 // serveFront lets the store listen at an address for one balancer until ctx ends.
@@ -55,7 +57,7 @@
 	f := &front{store: store, changed: make(chan struct{})}
 	server := &http.Server{Handler: f}
 	context.AfterFunc(ctx, func() { server.Close() })
-	go server.Serve(listener)
+	go server.Serve(f.silencer.Listener(listener))
 	return f, nil
 }
 
@@ -131,6 +133,10 @@
 	if err != nil {
 		return
 	}
+	if watched, ok := connection.(*silentConnection); ok {
+		connection = watched.Conn
+		defer watched.Close()
+	}
 	if tcp, ok := connection.(*net.TCPConn); ok {
 		// Without a linger the close resets.
 		_ = tcp.SetLinger(0)
--- a/internal/standin/tagged/relay.go
+++ b/internal/standin/tagged/relay.go
@@ -21,6 +21,8 @@
 	cut         bool
 	delay       time.Duration
 	connections map[*net.TCPConn]bool
+	// silencer reaches the connections of the others.
+	silencer Silencer
 }
 
 // NewRelay passes on what comes to the control and peer ports of address to the same
@@ -77,6 +79,11 @@
 	clear(r.connections)
 }
 
+// Silence lets all connections that are open now fall silent, without a sign to either end.
+func (r *Relay) Silence() {
+	r.silencer.Silence()
+}
+
 func (r *Relay) state() (cut bool, delay time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -123,8 +130,10 @@
 	r.connections[caller], r.connections[target] = true, true
 	r.mutex.Unlock()
 	done := make(chan struct{}, 2)
-	go r.passBytes(target, caller, done)
-	go r.passBytes(caller, target, done)
+	watched := r.silencer.watch(caller)
+	defer watched.Close()
+	go r.passBytes(target, watched, done)
+	go r.passBytes(watched, target, done)
 	<-done
 	r.mutex.Lock()
 	delete(r.connections, caller)
