--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -15,6 +15,7 @@
 	packets, forwarded, placed *metrics.Counter
 	moved, repinned, spilled   *metrics.Counter
 	resets, waited             *metrics.Counter
+	outOfRotation              *metrics.Counter
 	storeCalls, storeFailures  *metrics.Counter
 	sendFailures, linesLeftOut *metrics.Counter
 	peerCalls, peerMalformed   *metrics.Counter
@@ -35,6 +36,7 @@
 		spilled:       set.NewCounter("gaugeyard_flows_placed_in_another_zone_total"),
 		waited:        set.NewCounter("gaugeyard_copies_waited_total"),
 		resets:        set.NewCounter("gaugeyard_flows_reset_total"),
+		outOfRotation: set.NewCounter("gaugeyard_backends_out_of_rotation_total"),
 		storeCalls:    set.NewCounter("gaugeyard_store_calls_total"),
 		storeFailures: set.NewCounter("gaugeyard_store_failures_total"),
 		linesLeftOut:  set.NewCounter("gaugeyard_log_lines_left_out_total"),
--- a/internal/edge/verdict.go
+++ b/internal/edge/verdict.go
@@ -46,6 +46,9 @@
 // logObservations writes what packets have shown of back ends.
 func (n *Node) logObservations(now time.Duration, events []steering.BackendEvent) {
 	for _, event := range events {
+		if event.Observation == steering.OutOfRotation {
+			n.metrics.outOfRotation.Inc()
+		}
 		if event.Observation == steering.OutOfRotation || event.Observation == steering.BackInRotation {
 			n.log.Info(string(event.Observation), "backend", backendName(event.Backend), "failures", round(event.Failures), "revision", n.viewRevision.Load())
 			continue
--- a/internal/steering/outlier.go
+++ b/internal/steering/outlier.go
@@ -41,6 +41,9 @@
 	// mostOut is the part of the candidates out of rotation beyond which none is: that so many fail
 	// is the service's fault or a mistake, and the rest could not bear their load.
 	mostOut = 0.5
+	// mostFailures bounds what is taken over of the failures that others tell, so that a wrong word
+	// fades within 16 seconds.
+	mostFailures = 64
 	// mostEvidence bounds what speaks for a failing back end, so that sound answers soon outweigh it.
 	mostEvidence = 1.5
 )
@@ -55,6 +58,10 @@
 // soundEvidence is how much a sound answer speaks against a failing back end.
 var soundEvidence = -math.Log(1-failingPart) / evidenceUnit
 
+// leastNumber is what a quantile takes smaller numbers for: it moves in proportion, and would never
+// leave zero.
+const leastNumber = 1e-6
+
 // quantile is an estimate of a quantile of positive numbers that follows them. The zero value
 // knows nothing.
 type quantile struct {
@@ -66,7 +73,7 @@
 // it, and falls in the others, in proportion.
 func (q *quantile) add(number, part float64) {
 	if q.count == 0 {
-		q.value = number
+		q.value = max(number, leastNumber)
 	}
 	q.count++
 	if number > q.value {
@@ -147,6 +154,9 @@
 // that has just started would need half a minute at 1 answer a second.
 func (s *Steerer) HearShapes(shapes []Shape) {
 	for _, told := range shapes {
+		if told.Length == 0 || told.Time <= 0 || !told.Service.IsValid() {
+			continue
+		}
 		shape := s.shapeOf(told.Service)
 		if shape.length.count < knownShape {
 			shape.length = quantile{float64(told.Length), knownShape}
--- a/internal/steering/outlier_test.go
+++ b/internal/steering/outlier_test.go
@@ -180,6 +180,10 @@
 	if len(shapes) != 1 || shapes[0].Service != old.address {
 		t.Fatalf("shapes %v", shapes)
 	}
+	fresh.HearShapes([]Shape{{Service: old.address}, {Length: 100, Time: time.Second}, {Service: old.address, Length: 1, Time: -time.Second}})
+	if len(fresh.shapes) != 0 {
+		t.Errorf("shapes that nobody can have seen are taken over: %v", fresh.shapes)
+	}
 	fresh.HearShapes(shapes)
 	fresh.ask(t, func(settings.BackendID) (uint32, time.Duration) { return failedLength, failedTime })
 	if len(fresh.Failures(4)) != 1 {
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -33,8 +33,13 @@
 	return Load{l.Requests * short, l.Steady * long, l.Failures * short, l.Answers * short, l.Time * short}
 }
 
-// SetOthersLoad takes over what other balancers told of the work at each back end.
+// SetOthersLoad takes over what other balancers told of the work at each back end; loads is the
+// steerer's from then on.
 func (s *Steerer) SetOthersLoad(loads map[directory.Tag]Load) {
+	for tag, load := range loads {
+		load.Failures = min(load.Failures, mostFailures)
+		loads[tag] = load
+	}
 	for id, state := range s.backends {
 		state.others = loads[directory.TagOf(id)]
 	}
