Idle connections stay where an answer shows that they work

Cause: at a start many balancers are sent away by others that serve as many as they can; each such answer would have cost the idle connection to the store. Change: only calls without an answer drop idle connections.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -71,12 +71,18 @@
 	case err != nil:
 		outcome.Result = follow.Failed
 	}
-	if outcome.Result == follow.Failed || n.overtaken.Load() {
+	if !showsConnection(err) {
 		n.dropIdleConnections()
 	}
 	return outcome, err
 }
 
+// showsConnection tells whether a call that ended so has shown that its connection works.
+func showsConnection(err error) bool {
+	return err == nil || errors.Is(err, errPeerFull) || errors.Is(err, errEmptyAnswer) ||
+		errors.Is(err, ErrListingLeft) || errors.Is(err, ErrHistoryLost)
+}
+
 // dropIdleConnections lets the next calls open new connections, to the store and to other
 // balancers: connections fall silent together without a sign to either end, and each pooled one
 // would cost the next call its time-out (a call to the store up to a quarter of the contact bound
