Pages: outlier detection, states of a back end

Cause: a newcomer could not read what keeps flows away from a back end, and how one that fails is found. Measured: nothing; words alone.

--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -10,8 +10,20 @@
 // What is observed comes from the caller's side of flows alone, since back ends answer
 // callers directly: a copy of an opening packet, or data that is sent again, says that
 // the back end is silent; the time from data to the next acknowledgement is its latency; a
-// caller that waits with nothing more to send was left unanswered. Other balancers add
-// their loads and doubts.
+// caller that waits with nothing more to send was left unanswered; an answer that is far
+// shorter and quicker than is usual at its address looks like a failure. Other balancers add
+// their loads, doubts and failures.
+//
+// What keeps new flows away from a back end, and for how long:
+//
+//	state            put there by                              ended by
+//	doubted          60 ms without an answer to an opening     a sign of life, or 0.5 to 8 s
+//	suspected        two flows without an answer               a sign of life, or 2 to 8 s
+//	lost             four callers and more ask in vain         a sign of life, or 2 s; flows that
+//	                                                           may be repeated are reset
+//	faulty           requests unanswered for 0.4 s             counts as load, fades in seconds
+//	out of rotation  two answers that look like failures       7 s and longer
+//	slow, cold       answers that take long, its entry         answers that do not
 //
 // Guarantees: an established flow goes where its tag or its record says, never elsewhere
 // by load; a packet whose tag names nobody is dropped and never refused; an opening packet
