A few failures seen by one balancer are not taken to be usual

In a zone of 50 balancers each sees one answer a second; its first failure already made 1 in 100 look usual, and its next ones counted no more. Change: what is usual starts from 200 answers, not 50, and an answer counts from 0.8 of the evidence of a sure one on: where less than 4 in 1,000 look so.

--- a/internal/steering/outlier.go
+++ b/internal/steering/outlier.go
@@ -28,7 +28,12 @@
 	// usualAnswers answers.
 	failingPart  = 0.75
 	leastUsual   = 0.001
-	usualAnswers = 50
+	usualAnswers = 200
+	// countedEvidence is the evidence through one balancer from which on an answer that looks like a
+	// failure counts. A balancer of a large zone sees one answer a second, and many back ends may
+	// begin to fail at once: that two of its answers in 100 seconds looked so must not make a third
+	// the usual thing.
+	countedEvidence = 0.8
 	// usualDecay is what is left after a second of the answers by which the usual part is worked
 	// out: it stands for 100 seconds, so that a fault of some seconds is not taken to be usual.
 	usualDecay = 0.99
@@ -48,11 +53,12 @@
 	mostEvidence = 1.5
 )
 
-// evidenceUnit is the evidence, as the logarithm of the ratio of two probabilities, from which on
-// an answer that looks like a failure counts: that of a single one at an address where leastUsual
-// of them do. Where more do, it takes two or more through one balancer with few sound ones between.
+// evidenceUnit is the evidence, as the logarithm of the ratio of two probabilities, of a single
+// answer that looks like a failure at an address where leastUsual of them do. Where more than 4 in
+// 1,000 do, it takes two or more through one balancer with few sound ones between to count.
 // A sound back end with r answers a second of which a part p looks like failures is taken out
-// by mistake at most (r p)^2 times 2 seconds: at 8 a second and 1 in 1,000 once in two hours.
+// by mistake at most (r p)^2 times 2 seconds: at 8 a second and 1 in 1,000 once in two hours, at
+// 4 in 1,000 once in eight minutes.
 var evidenceUnit = math.Log(failingPart / leastUsual)
 
 // soundEvidence is how much a sound answer speaks against a failing back end.
@@ -189,7 +195,7 @@
 	known.answerTime = 0
 	b := known.backend
 	b.failing = min(max(b.failing+evidence, 0), mostEvidence)
-	if evidence > 0 && b.failing >= 1 {
+	if evidence > 0 && b.failing >= countedEvidence {
 		b.failures++
 		s.raise(now)
 	}
