Failures told by peers that send no loads count; loads fade by two powers a hello

Cause: a peer whose table has no place for this balancer sends urgent hellos alone, and what it told of failures was left out with the loads that it had never sent. And each load of each peer was faded by two powers of its own. Change: loads and failures of a peer are added apart; fading is worked out once for all loads of a hello. Measured: TestFailuresCountAlsoFromPeersThatTellNoLoads fails before.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -369,3 +369,21 @@
 		t.Errorf("%d of %d balancers know fewer than %d of their zone", few, len(order), smallZone)
 	}
 }
+
+// TestFailuresCountAlsoFromPeersThatTellNoLoads: an urgent hello may be all that one hears of them.
+func TestFailuresCountAlsoFromPeersThatTellNoLoads(t *testing.T) {
+	const later = time.Minute
+	table := New(Introduction{Control: address(0), Zone: "a"})
+	urgent := hello(address(1), "a", 0)
+	urgent.Full, urgent.Failures = false, []Failure{{Tag: 7, Units: uint32(1 / LoadUnit)}}
+	table.Heard(later, urgent)
+	if load := table.Loads(later)[7]; load.Failures != 1 {
+		t.Errorf("load %+v", load)
+	}
+	short := hello(address(1), "a", 0)
+	short.Full = false
+	table.Heard(later, short)
+	if load := table.Loads(later + time.Second)[7]; load.Failures < 0.6 || load.Failures > 0.8 {
+		t.Errorf("a second later %+v", load)
+	}
+}
--- a/internal/peers/round.go
+++ b/internal/peers/round.go
@@ -140,18 +140,34 @@
 func (t *Table) Loads(now time.Duration) map[directory.Tag]steering.Load {
 	loads := map[directory.Tag]steering.Load{}
 	for _, control := range slices.SortedFunc(maps.Keys(t.peers), netip.AddrPort.Compare) {
-		peer := t.peers[control]
-		age := now - peer.loadsAt
-		if !peer.everHeard || age > loadLife {
-			continue
-		}
-		for _, load := range peer.loads {
-			loads[load.Tag] = loads[load.Tag].Plus(load.load().After(age))
-		}
-		for _, failure := range peer.failures {
-			failed := steering.Load{Failures: float64(failure.Units) * LoadUnit}
-			loads[failure.Tag] = loads[failure.Tag].Plus(failed.After(now - peer.failuresAt))
+		if peer := t.peers[control]; peer.everHeard {
+			peer.addLoads(now, loads)
+			peer.addFailures(now, loads)
 		}
 	}
 	return loads
 }
+
+// addLoads adds what is left of the loads that the peer told last.
+func (p *Peer) addLoads(now time.Duration, loads map[directory.Tag]steering.Load) {
+	if len(p.loads) == 0 || now-p.loadsAt > loadLife {
+		return
+	}
+	fading := steering.FadingOver(now - p.loadsAt)
+	for _, load := range p.loads {
+		loads[load.Tag] = loads[load.Tag].Plus(load.load().Faded(fading))
+	}
+}
+
+// addFailures adds what is left of the failures that the peer told last. They come in urgent hellos
+// too, also from peers that never send their loads.
+func (p *Peer) addFailures(now time.Duration, loads map[directory.Tag]steering.Load) {
+	if len(p.failures) == 0 {
+		return
+	}
+	fading := steering.FadingOver(now - p.failuresAt)
+	for _, failure := range p.failures {
+		failed := steering.Load{Failures: float64(failure.Units) * LoadUnit}
+		loads[failure.Tag] = loads[failure.Tag].Plus(failed.Faded(fading))
+	}
+}
--- a/internal/steering/outlier_test.go
+++ b/internal/steering/outlier_test.go
@@ -164,7 +164,7 @@
 			t.Fatal("a flow goes to a back end of which another balancer has told two failures")
 		}
 	}
-	left := Load{Failures: 2}.After(20 * time.Second)
+	left := Load{Failures: 2}.Faded(FadingOver(20 * time.Second))
 	if left.Failures >= forgivenFailures {
 		t.Errorf("after 20 s %v failures are left of two", left.Failures)
 	}
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -27,10 +27,20 @@
 	return Load{l.Requests + other.Requests, l.Steady + other.Steady, l.Failures + other.Failures, l.Answers + other.Answers, l.Time + other.Time}
 }
 
-// After returns what is left of the load after a time.
-func (l Load) After(age time.Duration) Load {
-	short, long := math.Pow(recentDecay, age.Seconds()), math.Pow(steadyDecay, age.Seconds())
-	return Load{l.Requests * short, l.Steady * long, l.Failures * short, l.Answers * short, l.Time * short}
+// Fading is what a time leaves of loads.
+type Fading struct {
+	recent, steady float64
+}
+
+// FadingOver returns what a time leaves of loads. It costs two powers, and is meant for all loads
+// that came in one hello.
+func FadingOver(age time.Duration) Fading {
+	return Fading{math.Pow(recentDecay, age.Seconds()), math.Pow(steadyDecay, age.Seconds())}
+}
+
+// Faded returns what is left of the load.
+func (l Load) Faded(by Fading) Load {
+	return Load{l.Requests * by.recent, l.Steady * by.steady, l.Failures * by.recent, l.Answers * by.recent, l.Time * by.recent}
 }
 
 // SetOthersLoad takes over what other balancers told of the work at each back end; loads is the
