--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -102,10 +102,10 @@
 	if s.world.varied {
 		// As where one answer in five comes short and at once from a cache.
 		if s.world.Chance(0.2) {
-			return answer{length: refusalLength}
+			return answer{answerWhole, refusalLength}
 		}
 	}
-	return answer{length: uint32(length * math.Exp(answerSpread*s.world.Random.NormFloat64()))}
+	return answer{answerWhole, uint32(length * math.Exp(answerSpread*s.world.Random.NormFloat64()))}
 }
 
 // serverFlow is a flow at a server.
