Evacuation of a zone: known as the settings are, in force for all new flows

Change: package directory keeps the newest word on each zone with its revision, takes it from listings, changes and other balancers, and takes back what a listing does not name. Back ends of such a zone are left out of the pools that take new flows, so that copies of opening packets, last resorts and trials keep out as well; tags stay, open flows stay. Weighed: a value of the settings tree (an edit of the configuration would have to carry it along, and a quick one could undo it) or beside it with a revision of its own (kept). Log lines "zone evacuated" and "zone restored", gauge gaugeyard_zones_evacuated.

--- a/internal/directory/build.go
+++ b/internal/directory/build.go
@@ -25,10 +25,10 @@
 // member returns a back end as views hold it, nil for one that is not believed in.
 func (d *Directory) member(id settings.BackendID) *Member {
 	if known, live := d.live[id]; live {
-		return &Member{Backend: known.Backend, Tag: TagOf(id), ColdUntil: known.coldUntil}
+		return d.liveMember(id, &known)
 	}
 	if left, gone := d.gone[id]; gone {
-		return &Member{Backend: left.Backend, Tag: TagOf(id), Gone: true, GoneAt: left.at}
+		return d.goneMember(id, &left)
 	}
 	return nil
 }
@@ -52,7 +52,7 @@
 		return
 	}
 	b.setTagged(after.Tag, with(slices.Clone(b.view.Tagged(after.Tag)), after))
-	if after.Draining {
+	if after.Draining || after.Evacuated {
 		return
 	}
 	pool := b.pool(after.Group)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,7 +6,7 @@
 //
 // Terms: a listing is everything at one revision, changes are what came after one, a step
 // is what differs between two versions of the settings, a view is what packets are
-// steered by. Whatever is told twice, late or out of order leads to the same beliefs:
+// steered by, an evacuation is the operators' word that a zone takes no new flow. Whatever is told twice, late or out of order leads to the same beliefs:
 // each entry has the store's revision, and only a higher one replaces it. A back end
 // whose entry vanished is departed; it takes no new flow and keeps its tag.
 //
@@ -60,6 +60,8 @@
 	// Settings is nil while operators have written none.
 	Settings *Settings
 	Records  []Record
+	// Evacuations are what operators said of zones; a zone that is not named takes flows.
+	Evacuations []Evacuation
 	// Unreadable are back ends whose entries are there and could not be read; what is
 	// believed of them stays.
 	Unreadable []settings.BackendID
@@ -78,6 +80,8 @@
 	Step    *Step
 	Records []Record
 	Gone    []Gone
+	// Evacuations are what operators said of zones, the newest word on each last.
+	Evacuations []Evacuation
 }
 
 // Gone tells that the entry of a back end vanished.
@@ -97,13 +101,17 @@
 	BackendDraining Transition = "back end draining"
 	BackendReturned Transition = "back end returned"
 	BackendGone     Transition = "back end gone"
+	ZoneEvacuated   Transition = "zone evacuated"
+	ZoneRestored    Transition = "zone restored"
 )
 
 // Event is one transition with what it is about.
 type Event struct {
 	Transition Transition
-	// Backend is set but for settings.
+	// Backend is set where the transition is of a back end.
 	Backend Backend
+	// Zone is set where it is of a zone.
+	Zone string
 	// Revision is the store's revision that decided.
 	Revision uint64
 	// Version is the operators' version, for settings.
@@ -137,6 +145,9 @@
 	steps []Step
 	live  map[settings.BackendID]entry
 	gone  map[settings.BackendID]departed
+	// evacuations has the newest word on each zone of which there was one; also taken back, so that
+	// an older one that comes late changes nothing.
+	evacuations map[string]Evacuation
 	// view is the last one that was built, and changed what differs from it since.
 	view    *View
 	changed map[settings.BackendID]bool
@@ -147,11 +158,12 @@
 // New returns an empty directory that remembers departed back ends for keep.
 func New(keep time.Duration) *Directory {
 	return &Directory{
-		keep:    keep,
-		live:    map[settings.BackendID]entry{},
-		gone:    map[settings.BackendID]departed{},
-		view:    &View{},
-		changed: map[settings.BackendID]bool{},
+		keep:        keep,
+		live:        map[settings.BackendID]entry{},
+		gone:        map[settings.BackendID]departed{},
+		evacuations: map[string]Evacuation{},
+		view:        &View{},
+		changed:     map[settings.BackendID]bool{},
 	}
 }
 
@@ -172,6 +184,7 @@
 	}
 	d.revision = listing.Revision
 	events := d.applySettings(nil, listing.Settings)
+	events = d.replaceEvacuations(events, listing)
 	listed := make(map[settings.BackendID]bool, len(listing.Records))
 	for _, id := range listing.Unreadable {
 		listed[id] = true
@@ -199,6 +212,9 @@
 		}
 		events = d.applyStep(events, step)
 	}
+	for _, evacuation := range changes.Evacuations {
+		events = d.applyEvacuation(events, evacuation)
+	}
 	for _, record := range changes.Records {
 		events = d.applyRecord(now, events, record)
 	}
--- a/internal/directory/tell.go
+++ b/internal/directory/tell.go
@@ -30,6 +30,7 @@
 			changes.Gone = append(changes.Gone, Gone{ID: id, Revision: left.Revision})
 		}
 	}
+	changes.Evacuations = d.evacuationsSince(after)
 	sortRecords(changes.Records)
 	slices.SortFunc(changes.Gone, func(a, b Gone) int { return cmp.Compare(a.ID, b.ID) })
 	return changes, true
@@ -48,6 +49,7 @@
 	for _, left := range d.gone {
 		listing.Departed = append(listing.Departed, left.Record)
 	}
+	listing.Evacuations = d.evacuationsSince(0)
 	sortRecords(listing.Records)
 	sortRecords(listing.Departed)
 	return listing
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -28,6 +28,8 @@
 	// Gone is set once the entry vanished; GoneAt is when that was learned.
 	Gone   bool
 	GoneAt time.Duration
+	// Evacuated is set while the back end's zone takes no new flow.
+	Evacuated bool
 }
 
 // View is what packets are steered by. It is read-only.
@@ -55,7 +57,7 @@
 type Pool struct {
 	// Open take new flows.
 	Open []*Member
-	// Left are those that are gone and remembered.
+	// Left are those that are gone and remembered, but for evacuated zones.
 	Left []*Member
 }
 
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -281,6 +281,8 @@
 			n.log.Info(string(event.Transition), "version", event.Version, "revision", event.Revision, "from", from, "age_ms", age.Milliseconds())
 		case directory.SettingsRefused:
 			n.log.Error(string(event.Transition), "version", event.Version, "revision", event.Revision, "from", from, "error", event.Err)
+		case directory.ZoneEvacuated, directory.ZoneRestored:
+			n.log.Info(string(event.Transition), "zone", event.Zone, "revision", event.Revision, "from", from, "age_ms", age.Milliseconds())
 		default:
 			n.log.Info(string(event.Transition), "backend", backendName(event.Backend.ID), "group", event.Backend.Group,
 				"address", event.Backend.Address, "zone", event.Backend.Zone, "revision", event.Revision, "from", from, "age_ms", age.Milliseconds())
--- a/internal/edge/listing.go
+++ b/internal/edge/listing.go
@@ -35,6 +35,7 @@
 		listing.Settings = page.Settings
 	}
 	listing.Records = append(listing.Records, page.Records...)
+	listing.Evacuations = append(listing.Evacuations, page.Evacuations...)
 	listing.Unreadable = append(listing.Unreadable, page.Unreadable...)
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -64,6 +64,11 @@
 		defer n.beliefs.Unlock()
 		return float64(n.directory.SettingsVersion())
 	})
+	set.NewGauge("gaugeyard_zones_evacuated", func() float64 {
+		n.beliefs.Lock()
+		defer n.beliefs.Unlock()
+		return float64(len(n.directory.Evacuated()))
+	})
 	set.NewGauge("gaugeyard_log_lines_dropped", func() float64 { return float64(n.lines.dropped.Load()) })
 	return m
 }
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -65,6 +65,9 @@
 		{"server-crash", 0.98, 0.99, usual},
 		{"balancer-kill", 0.985, 0.999, usual},
 		{"kill-all", 0.96, 0.99, 3 * usual},
+		{"evacuate", 0.99, 0.999, usual},
+		{"evacuate-compact", 0.99, 0.999, usual},
+		{"evacuate-cut", 0.98, 0.999, usual},
 	} {
 		t.Run(test.scenario, func(t *testing.T) {
 			t.Parallel()
@@ -117,6 +120,8 @@
 		{"copies go where the first one went", "lossy", 1, Without{CopyMemory: true}, ruleFlow},
 		{"a flow that is open stays where it is", "lossy", 81, Without{Pins: true}, ruleFlow},
 		{"a flow that is open stays where it is", "lossy-answers", 1, Without{Pins: true}, ruleFlow},
+		{"an evacuation is heard of", "evacuate", 1, Without{Evacuations: true}, ruleEvac},
+		{"an evacuation is heard of from others", "evacuate-turned-away", 1, Without{Peers: true}, ruleEvac},
 		{"opening packets that waited are dropped", "chaos", 1, Without{Standstill: true}, ruleFlow},
 	} {
 		t.Run(test.name+" "+test.scenario, func(t *testing.T) {
@@ -157,6 +162,7 @@
 		{"balancers learn from each other", "start-in-outage", Without{Peers: true}, func(a, b Result) bool { return b.InAim < a.InAim }},
 		{"balancers follow each other", "calm", Without{Peers: true}, func(a, b Result) bool { return b.StoreCalls > 2*a.StoreCalls }},
 		{"a stopping balancer forwards until routers let go", "rolling-restart", Without{Release: true}, func(a, b Result) bool { return b.InAim < a.InAim-0.004 }},
+		{"a listing tells by difference which zone was taken back", "evacuate-compact", Without{Differences: true}, func(a, b Result) bool { return b.Busiest > a.Busiest+0.08 }},
 		{"placement evens the load", "calm", Without{Load: true}, func(a, b Result) bool { return b.Busiest > a.Busiest+0.08 }},
 	} {
 		t.Run(test.name+" "+test.scenario, func(t *testing.T) {
--- a/internal/emulator/listing.go
+++ b/internal/emulator/listing.go
@@ -1,6 +1,9 @@
 package emulator
 
 import (
+	"maps"
+	"slices"
+
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/follow"
 	"gaugeyard/internal/settings"
@@ -14,6 +17,8 @@
 	revision uint64
 	settings *directory.Settings
 	records  []directory.Record
+	// evacuations stand on the first page, before the servers.
+	evacuations []directory.Evacuation
 	// more is set where the listing goes on after last.
 	more bool
 	last settings.BackendID
@@ -38,7 +43,7 @@
 		return
 	}
 	if listing.Revision == 0 {
-		listing.Revision, listing.Settings = answer.revision, answer.settings
+		listing.Revision, listing.Settings, listing.Evacuations = answer.revision, answer.settings, answer.evacuations
 	}
 	listing.Records = append(listing.Records, answer.records...)
 	if answer.more {
@@ -93,6 +98,11 @@
 func (s *store) pageAfter(after settings.BackendID) *page {
 	answer := &page{revision: s.revision, settings: s.settings}
 	skip := after != 0
+	for _, zone := range slices.Sorted(maps.Keys(s.evacuated)) {
+		if !skip {
+			answer.evacuations = append(answer.evacuations, directory.Evacuation{Zone: zone, Active: true, Revision: s.evacuated[zone]})
+		}
+	}
 	for _, server := range s.world.incarnations {
 		if skip {
 			skip = server.id != after
--- a/internal/emulator/node_follow.go
+++ b/internal/emulator/node_follow.go
@@ -95,14 +95,22 @@
 func (n *node) replace(listing *directory.Listing, age time.Duration) {
 	if n.world.options.Without.Differences {
 		// The listing says nothing of what vanished.
-		n.apply(&directory.Changes{Revision: listing.Revision, Settings: listing.Settings, Records: listing.Records}, age)
+		n.apply(&directory.Changes{Revision: listing.Revision, Settings: listing.Settings, Records: listing.Records, Evacuations: listing.Evacuations}, age)
 		return
 	}
+	if n.world.options.Without.Evacuations {
+		deaf := *listing
+		deaf.Evacuations = nil
+		listing = &deaf
+	}
 	n.directory.Replace(n.now(), listing)
 	n.believe(age)
 }
 
 func (n *node) apply(changes *directory.Changes, age time.Duration) {
+	if n.world.options.Without.Evacuations {
+		changes.Evacuations = nil
+	}
 	n.directory.Apply(n.now(), changes)
 	n.believe(age)
 }
--- a/internal/emulator/observer.go
+++ b/internal/emulator/observer.go
@@ -19,6 +19,7 @@
 	ruleRecover = "RECOVER"
 	ruleMixed   = "MIXED"
 	ruleLost    = "LOST"
+	ruleEvac    = "EVAC"
 )
 
 // recoverShare is the part of requests that must be served after recovery.
@@ -43,7 +44,9 @@
 	world    *world
 	versions []published
 	leftAt   map[settings.BackendID]time.Duration
-	requests []*request
+	// emptied is since when each zone is evacuated, and takenBack when it last was taken back.
+	emptied, takenBack map[string]time.Duration
+	requests           []*request
 	// checks counts how often each rule had something to judge.
 	checks     map[string]int
 	violations []Violation
@@ -56,7 +59,7 @@
 }
 
 func newObserver(w *world) *observer {
-	return &observer{world: w, leftAt: map[settings.BackendID]time.Duration{}, checks: map[string]int{}, lookupsAt: map[string]int{}}
+	return &observer{world: w, leftAt: map[settings.BackendID]time.Duration{}, emptied: map[string]time.Duration{}, takenBack: map[string]time.Duration{}, checks: map[string]int{}, lookupsAt: map[string]int{}}
 }
 
 // broken notes a violation.
@@ -75,6 +78,16 @@
 	}
 }
 
+// evacuated notes that the store has taken that a zone is evacuated, or taken back.
+func (o *observer) evacuated(zone string, active bool) {
+	if active {
+		o.emptied[zone] = o.world.Now
+		return
+	}
+	delete(o.emptied, zone)
+	o.takenBack[zone] = o.world.Now
+}
+
 // returned notes that a server announces itself as ready, perhaps again.
 func (o *observer) returned(id settings.BackendID) {
 	delete(o.leftAt, id)
@@ -111,6 +124,12 @@
 	if left, gone := o.leftAt[s.id]; gone && o.world.Now-left > drainBound {
 		o.broken(ruleDrain, "server %s took a flow %v after it left, through %s", idText(s.id), o.world.Now-left, via.control)
 	}
+	if since, emptied := o.emptied[s.zone]; emptied {
+		o.checks[ruleEvac]++
+		if o.world.Now-since > evacuateBound {
+			o.broken(ruleEvac, "server %s took a flow %v after %s was evacuated, through %s", idText(s.id), o.world.Now-since, s.zone, via.control)
+		}
+	}
 	o.checks[ruleConfig]++
 	if services, _ := o.allowed(d.Flow.Service, d.sent-applyBound); !slices.Contains(services, s.service) {
 		o.broken(ruleConfig, "%s took a flow for %s by an older version, through %s", s.service, d.Flow.Service, via.control)
@@ -147,6 +166,9 @@
 func (o *observer) anyServer(services []string) bool {
 	for _, s := range o.world.incarnations {
 		_, left := o.leftAt[s.id]
+		if !o.zoneTakesFlows(s.zone) {
+			continue
+		}
 		if !s.crashed && !s.draining && !left && slices.Contains(services, s.service) {
 			if _, listed := o.world.store.entries[s.id]; listed {
 				return true
@@ -156,6 +178,14 @@
 	return false
 }
 
+// zoneTakesFlows tells whether a zone has not been evacuated for as long as balancers may need to
+// hear of it.
+func (o *observer) zoneTakesFlows(zone string) bool {
+	_, emptied := o.emptied[zone]
+	back, was := o.takenBack[zone]
+	return !emptied && (!was || o.world.Now-back > applyBound)
+}
+
 // opened notes where a flow is open.
 func (o *observer) opened(s *server, c *clientFlow) {
 	if c.server == nil {
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -61,6 +61,14 @@
 	{"start-in-outage", "balancers start while the store is silent", (*world).startInOutage},
 	{"lossy", "one datagram in twenty is lost while balancers come and go", (*world).lossy},
 	{"lossy-answers", "half of the first answers to opening packets and one datagram in fifty are lost while balancers come and go", (*world).lossyAnswers},
+	{"evacuate", "a zone is evacuated and taken back, then the next one", (*world).evacuateInTurn},
+	{"evacuate-all", "every zone is evacuated at once, and taken back", (*world).evacuateAll},
+	{"evacuate-compact", "a zone is evacuated and another one taken back while the store loses its history", (*world).evacuateCompact},
+	{"evacuate-cut", "half of the balancers are cut off from the store while a zone is evacuated, and hear of it when the cut heals", (*world).evacuateCut},
+	{"evacuate-turned-away", "the store turns a third of the balancers away while zones are evacuated and taken back", (*world).evacuateTurnedAway},
+	{"evacuate-outage", "the store falls silent just after a zone is evacuated; balancers restart meanwhile", (*world).evacuateOutage},
+	{"evacuate-restart", "every balancer is killed while a zone is evacuated and settings change quickly", (*world).evacuateRestart},
+	{"evacuate-dark", "the servers of a second zone fall silent while a zone is evacuated", (*world).evacuateDark},
 	{"chaos", "a mix of all of this, drawn from the seed", (*world).chaos},
 }
 
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -39,6 +39,7 @@
 	settings *directory.Settings
 	record   *directory.Record
 	gone     settings.BackendID
+	zone     *directory.Evacuation
 	at       time.Duration
 }
 
@@ -59,7 +60,9 @@
 	settings *directory.Settings
 	entries  map[settings.BackendID]directory.Record
 	written  map[settings.BackendID]time.Duration
-	history  []change
+	// evacuated has the revision of each zone's evacuation that is in force.
+	evacuated map[string]uint64
+	history   []change
 	// forgotten is up to where history is dropped.
 	forgotten uint64
 	// stalled watches hear nothing.
@@ -72,10 +75,11 @@
 
 func newStore(w *world) *store {
 	return &store{
-		world:    w,
-		entries:  map[settings.BackendID]directory.Record{},
-		written:  map[settings.BackendID]time.Duration{},
-		unstable: -contactBound,
+		world:     w,
+		entries:   map[settings.BackendID]directory.Record{},
+		written:   map[settings.BackendID]time.Duration{},
+		evacuated: map[string]uint64{},
+		unstable:  -contactBound,
 	}
 }
 
@@ -106,6 +110,17 @@
 	return s.revision
 }
 
+// evacuate accepts that a zone takes no new flow, or does again.
+func (s *store) evacuate(zone string, active bool) {
+	s.revision++
+	delete(s.evacuated, zone)
+	if active {
+		s.evacuated[zone] = s.revision
+	}
+	s.note(change{revision: s.revision, zone: &directory.Evacuation{Zone: zone, Active: active, Revision: s.revision}})
+	s.world.truth.evacuated(zone, active)
+}
+
 // write takes a server's entry. It changes only when more than the heartbeat does.
 func (s *store) write(backend directory.Backend) (taken bool) {
 	if s.fault == storeSilent || s.fault == storeBusy || s.fault == storeReset {
@@ -281,6 +296,8 @@
 			changes.Settings = c.settings
 		case c.record != nil:
 			changes.Records = append(changes.Records, *c.record)
+		case c.zone != nil:
+			changes.Evacuations = append(changes.Evacuations, *c.zone)
 		default:
 			changes.Gone = append(changes.Gone, directory.Gone{ID: c.gone, Revision: c.revision})
 		}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -74,20 +74,23 @@
 	Deadlines bool
 	// ListingsAnew leaves a listing for what was known before it began, too.
 	ListingsAnew bool
+	// Evacuations leaves the operators' word on zones unheard.
+	Evacuations bool
 	// Differences applies a listing without what vanished since the last one.
 	Differences bool
 }
 
 // Bounds of the platform that the emulator judges by.
 const (
-	contactBound = 4 * time.Second
-	applyBound   = 3 * time.Second
-	drainBound   = 3 * time.Second
-	graceBound   = 6 * time.Second
-	flowLife     = 60 * time.Second
-	backSlack    = 250 * time.Millisecond
-	reorderBound = 2 * time.Second
-	recoverBound = 12 * time.Second
+	contactBound  = 4 * time.Second
+	applyBound    = 3 * time.Second
+	drainBound    = 3 * time.Second
+	evacuateBound = 3 * time.Second
+	graceBound    = 6 * time.Second
+	flowLife      = 60 * time.Second
+	backSlack     = 250 * time.Millisecond
+	reorderBound  = 2 * time.Second
+	recoverBound  = 12 * time.Second
 )
 
 // Delays of the network, one way.
