Emulator: scenarios of evacuations run with any number of zones

Cause: gaugeyard-sim with two zones met a third one in evacuate-turned-away (TestEveryScenarioPrintsItsResult). Change: zones are counted on from the first again where there are fewer. Measured: the test fails before, passes after.

--- a/internal/emulator/scenario_evacuate.go
+++ b/internal/emulator/scenario_evacuate.go
@@ -5,6 +5,9 @@
 // evacuationTime is how long scenarios keep a zone empty: well beyond the bound.
 const evacuationTime = 8 * time.Second
 
+// zoneAt counts on from the first zone again where there are fewer.
+func (w *world) zoneAt(i int) string { return w.zones[i%len(w.zones)] }
+
 // evacuateAt evacuates a zone at a time and takes it back later.
 func (w *world) evacuateAt(at time.Duration, zone string) {
 	w.At(at, func() { w.store.evacuate(zone, true) })
@@ -12,8 +15,8 @@
 }
 
 func (w *world) evacuateInTurn() {
-	w.evacuateAt(troubleStart, w.zones[0])
-	w.evacuateAt(troubleStart+evacuationTime+time.Second, w.zones[1])
+	w.evacuateAt(troubleStart, w.zoneAt(0))
+	w.evacuateAt(troubleStart+evacuationTime+time.Second, w.zoneAt(1))
 	w.release()
 }
 
@@ -25,16 +28,16 @@
 
 // evacuateCompact has a removal and an evacuation in one gap that no watch heard of.
 func (w *world) evacuateCompact() {
-	w.At(troubleStart, func() { w.store.evacuate(w.zones[0], true) })
+	w.At(troubleStart, func() { w.store.evacuate(w.zoneAt(0), true) })
 	w.At(troubleStart+4*time.Second, func() {
 		w.store.stalled = true
-		w.store.evacuate(w.zones[0], false)
-		w.store.evacuate(w.zones[1], true)
+		w.store.evacuate(w.zoneAt(0), false)
+		w.store.evacuate(w.zoneAt(1), true)
 		w.operator.probe = serviceFeed
 		w.operator.publish()
 	})
 	w.At(troubleStart+5*time.Second, w.store.compact)
-	w.At(troubleStart+14*time.Second, func() { w.store.evacuate(w.zones[1], false) })
+	w.At(troubleStart+14*time.Second, func() { w.store.evacuate(w.zoneAt(1), false) })
 }
 
 func (w *world) evacuateCut() {
@@ -45,19 +48,19 @@
 			}
 		}
 	})
-	w.At(troubleStart+2*time.Second, func() { w.store.evacuate(w.zones[0], true) })
-	w.At(troubleStart+16*time.Second, func() { w.store.evacuate(w.zones[0], false) })
+	w.At(troubleStart+2*time.Second, func() { w.store.evacuate(w.zoneAt(0), true) })
+	w.At(troubleStart+16*time.Second, func() { w.store.evacuate(w.zoneAt(0), false) })
 }
 
 func (w *world) evacuateTurnedAway() {
 	w.storeTurnsAway()
-	w.evacuateAt(troubleStart+500*time.Millisecond, w.zones[0])
-	w.evacuateAt(troubleStart+4*time.Second, w.zones[2])
+	w.evacuateAt(troubleStart+500*time.Millisecond, w.zoneAt(0))
+	w.evacuateAt(troubleStart+4*time.Second, w.zoneAt(2))
 }
 
 // evacuateOutage has balancers that start learn of the evacuation from others alone.
 func (w *world) evacuateOutage() {
-	w.evacuateAt(troubleStart, w.zones[0])
+	w.evacuateAt(troubleStart, w.zoneAt(0))
 	w.At(troubleStart+500*time.Millisecond, func() { w.store.setFault(storeSilent) })
 	for i, n := range w.nodes {
 		w.At(troubleStart+time.Second+time.Duration(i)*400*time.Millisecond, func() { n.kill(restartTime) })
@@ -66,21 +69,21 @@
 }
 
 func (w *world) evacuateRestart() {
-	w.At(troubleStart, func() { w.store.evacuate(w.zones[0], true) })
+	w.At(troubleStart, func() { w.store.evacuate(w.zoneAt(0), true) })
 	w.At(troubleStart+2*time.Second, func() {
 		for _, n := range w.nodes {
 			n.kill(restartTime)
 		}
 	})
 	w.configStorm()
-	w.At(troubleStart+16*time.Second, func() { w.store.evacuate(w.zones[0], false) })
+	w.At(troubleStart+16*time.Second, func() { w.store.evacuate(w.zoneAt(0), false) })
 }
 
 func (w *world) evacuateDark() {
-	w.evacuateAt(troubleStart, w.zones[0])
+	w.evacuateAt(troubleStart, w.zoneAt(0))
 	w.At(troubleStart+3*time.Second, func() {
 		for _, s := range w.incarnations {
-			if s.zone == w.zones[1] {
+			if s.zone == w.zoneAt(1) {
 				s.hung, s.disturbed = true, w.Now
 			}
 		}
