Steering: where a flow rests is decided before its back end is judged

When the flow's packets came to the first balancer again (routers hash by mod), it refused them by the state of the silent server, though the tag named the sound one. Ruled out: the evacuation that had come just before (pools alone changed; the emulator shows it without one). Change: a flow that is still opening here follows its tag first; only then the back end that it rests at may be given up. Test: TestAFlowThatOpenedElsewhereIsNotReset fails before.

--- a/internal/steering/established.go
+++ b/internal/steering/established.go
@@ -13,14 +13,16 @@
 	if known == nil {
 		return s.adopt(now, packet)
 	}
-	if s.givesUp(now, known.backend, packet) {
-		s.forget(known)
-		return refuse(errkind.BackendLost)
-	}
 	verdict := Verdict{Action: Forward}
 	if known.member.Tag != packet.Tag {
 		verdict.Repinned = s.reconcile(known, packet)
 	}
+	// Only now is it known where the flow rests: a copy of its opening packet may have been placed
+	// here at a back end that is lost, while another one has answered.
+	if s.givesUp(now, known.backend, packet) {
+		s.forget(known)
+		return refuse(errkind.BackendLost)
+	}
 	verdict.Backend = known.member
 	s.observe(now, known, packet)
 	if packet.Kind == Abort {
--- a/internal/steering/lost_test.go
+++ b/internal/steering/lost_test.go
@@ -268,3 +268,25 @@
 		}
 	}
 }
+
+// TestAFlowThatOpenedElsewhereIsNotReset: a copy of its opening packet was placed here at a back end
+// that is lost by now, and another one answered the copy that went through another balancer.
+func TestAFlowThatOpenedElsewhereIsNotReset(t *testing.T) {
+	f := silentFleet(t)
+	caller := 200
+	for f.open(caller, feedAddress, 0).Backend.ID != 1 {
+		if caller++; caller == 400 {
+			t.Fatal("no flow is placed at the back end")
+		}
+	}
+	f.askInVain(0, 1, 2, 3)
+	f.pass(100 * time.Millisecond)
+	f.askInVain(0, 1, 2, 3)
+	if f.steerer.TakeResets() == nil {
+		t.Fatal("the back end is not lost")
+	}
+	verdict := f.established(caller, feedAddress, 2, 1, 100)
+	if verdict.Action != Forward || verdict.Backend.ID != 2 {
+		t.Errorf("a packet of a flow that is open at another back end: %+v", verdict)
+	}
+}
