Warm-up limit: few balancers place new flows at a back end that warms up, and space them out

Cause: a service may say how many requests a second its servers carry after a start during traffic (warmupPerS), judged over all balancers and in every span of a second; nothing read it. Ways, measured by the emulator with 6 times its usual load and 28 balancers a zone (cold-return): an even share for each balancer of the zone breaks the bound (one flow each is already 28 in a second, 11 are allowed); loads that are told every half second are older than the span that counts; kept: the two balancers of the server's zone that are nearest to it by hash place flows there, each so far apart that twice as many stay within the bound. A balancer that has just started, or does not hear most of its neighbours, leaves such servers to others. What fits nowhere is refused at once.

--- a/bench/variant/main.go
+++ b/bench/variant/main.go
@@ -45,6 +45,10 @@
 	"scarce": {{`(?m)^writes_per_s = .*$`, `writes_per_s = 10.0`}, {`(?m)^reads_per_s = .*$`, `reads_per_s = 25.0`}},
 	// More servers than the store lists at once.
 	"crowded": {{`(\{ zone = "[^"]+", count = )[0-9]+( \})`, `${1}100${2}`}},
+	// Servers that start during traffic take so many new flows a second until they are warm.
+	"cold2": {{`cold_s = [0-9.]+`, `cold_s = 10.0, cold_per_s = 2.0`}},
+	"cold4": {{`cold_s = [0-9.]+`, `cold_s = 4.0, cold_per_s = 4.0`}},
+	"cold8": {{`cold_s = [0-9.]+`, `cold_s = 6.0, cold_per_s = 8.0`}},
 	// Many routes.
 	"routes": {{`(?m)^idle_routes = .*$`, `idle_routes = 600`}},
 }
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -68,6 +68,10 @@
 	Grace time.Duration `yaml:"grace"`
 	// FlowLife is how long a flow may live.
 	FlowLife time.Duration `yaml:"flow_life"`
+	// WarmUpOvershoot and WarmUpSlack bound the new flows of a back end that warms up in any second:
+	// the service's rate times the first (1 at the least), plus the second.
+	WarmUpOvershoot float64 `yaml:"warm_up_overshoot"`
+	WarmUpSlack     float64 `yaml:"warm_up_slack"`
 }
 
 // defaultBounds stand where the file gives none.
@@ -77,6 +81,8 @@
 	Drain:    3 * time.Second,
 	Grace:    6 * time.Second,
 	FlowLife: time.Minute,
+
+	WarmUpOvershoot: 1,
 }
 
 const (
@@ -84,6 +90,8 @@
 	maxProcessWorkers = 64
 	// maxBound is the largest bound that is plausible.
 	maxBound = 24 * time.Hour
+	// maxWarmUp is the largest number in the bounds of back ends that warm up that is plausible.
+	maxWarmUp = 1e6
 )
 
 // LoadConfig reads and checks the file. It returns every fault, each with its field.
@@ -169,6 +177,14 @@
 			fault("bounds."+bound.field, "%v is not within 1ns to %v", bound.value, maxBound)
 		}
 	}
+	for _, bound := range []struct {
+		field string
+		value float64
+	}{{"warm_up_overshoot", c.Bounds.WarmUpOvershoot}, {"warm_up_slack", c.Bounds.WarmUpSlack}} {
+		if !(bound.value >= 0 && bound.value <= maxWarmUp) {
+			fault("bounds."+bound.field, "%v is not within 0 to %v", bound.value, maxWarmUp)
+		}
+	}
 	probe := settings.Tree{"": settings.Values{}}
 	for key, value := range c.Defaults {
 		if err := probe.Set("", key, value); err != nil {
--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -125,7 +125,7 @@
 	defer n.steering.Unlock()
 	n.steerer.SetOthersLoad(n.peers.Loads(now))
 	index, count, fleet := n.peers.Place(now)
-	n.steerer.SetPlace(steering.Place{Index: index, Count: count, Fleet: fleet})
+	n.steerer.SetPlace(steering.Place{Index: index, Count: count, Fleet: fleet, Zone: n.peers.Neighbours(now)})
 	hello.Others, hello.Full = n.peers.Sample(now), true
 	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
 	hello.Stalls = n.steerer.Stalls(now, peers.MaxStalls)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -159,6 +159,9 @@
 		FlowLife:   config.Bounds.FlowLife,
 		LapseGrace: config.Bounds.Drain / 2,
 		MaxFlows:   maxFlows,
+
+		WarmUpOvershoot: config.Bounds.WarmUpOvershoot,
+		WarmUpSlack:     config.Bounds.WarmUpSlack,
 	}
 }
 
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -100,18 +100,21 @@
 	n.directory = directory.New(keep)
 	n.steerer = steering.New(steering.Config{
 		Zone: n.zone, FlowLife: flowLife, LapseGrace: drainBound / 2,
+		WarmUpOvershoot: warmUpOvershoot, WarmUpSlack: warmUpSlack,
 		Mechanisms: steering.Mechanisms{
-			NoCopyMemory: w.options.Without.CopyMemory,
-			NoCopyWait:   w.options.Without.CopyWait,
-			NoPins:       w.options.Without.Pins,
-			NoSuspicion:  w.options.Without.Suspicion,
-			NoOutliers:   w.options.Without.Outliers,
-			NoFaults:     w.options.Without.Faults,
-			NoResets:     w.options.Without.Resets,
-			NoPacing:     w.options.Without.Pacing,
-			NoPace:       w.options.Without.Pace,
-			NoLoad:       w.options.Without.Load,
-			NoStandstill: w.options.Without.Standstill,
+			NoCopyMemory:  w.options.Without.CopyMemory,
+			NoCopyWait:    w.options.Without.CopyWait,
+			NoPins:        w.options.Without.Pins,
+			NoSuspicion:   w.options.Without.Suspicion,
+			NoOutliers:    w.options.Without.Outliers,
+			NoFaults:      w.options.Without.Faults,
+			NoResets:      w.options.Without.Resets,
+			NoPacing:      w.options.Without.Pacing,
+			NoPace:        w.options.Without.Pace,
+			NoLoad:        w.options.Without.Load,
+			NoStandstill:  w.options.Without.Standstill,
+			NoWarmUpLimit: w.options.Without.WarmUpLimit,
+			EvenWarmUp:    w.options.Without.WarmUpPlacers,
 		},
 	})
 	n.peers = peers.New(peers.Introduction{Control: n.control, Zone: n.zone})
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -89,7 +89,7 @@
 	}
 	n.steerer.SetOthersLoad(n.peers.Loads(now))
 	index, count, fleet := n.peers.Place(now)
-	n.steerer.SetPlace(steering.Place{Index: index, Count: count, Fleet: fleet})
+	n.steerer.SetPlace(steering.Place{Index: index, Count: count, Fleet: fleet, Zone: n.peers.Neighbours(now)})
 	for _, target := range n.peers.Round(now, len(n.steerer.RecentLoad(peers.MaxLoads))) {
 		n.helloTo(target)
 	}
--- a/internal/emulator/observer.go
+++ b/internal/emulator/observer.go
@@ -20,6 +20,7 @@
 	ruleMixed   = "MIXED"
 	ruleLost    = "LOST"
 	ruleEvac    = "EVAC"
+	ruleWarmUp  = "FAILBACK"
 )
 
 // recoverShare is the part of requests that must be served after recovery.
@@ -109,8 +110,30 @@
 	return services, absent
 }
 
-// openTaken judges where an opening packet arrived.
-func (o *observer) openTaken(s *server, via *node, d *datagram) {
+// warmUpTaken judges in each span of a second how many flows a server takes while it warms up.
+func (o *observer) warmUpTaken(s *server, d *datagram) {
+	rate := o.world.operator.warmUpRate
+	if rate == 0 || s.coldAt == 0 || !s.cold() {
+		return
+	}
+	o.checks[ruleWarmUp]++
+	s.taken = append(s.taken, takenFlow{d.sent, o.world.Now})
+	within := 0
+	for _, taken := range s.taken {
+		if taken.sent >= o.world.Now-time.Second {
+			within++
+		}
+	}
+	if bound := rate*warmUpOvershoot + warmUpSlack; float64(within) > bound {
+		o.broken(ruleWarmUp, "server %s takes %d flows in a second while it warms up, %g are allowed", idText(s.id), within, bound)
+	}
+}
+
+// openTaken judges where an opening packet arrived; isNew is set unless the server has it already.
+func (o *observer) openTaken(s *server, via *node, d *datagram, isNew bool) {
+	if isNew {
+		o.warmUpTaken(s, d)
+	}
 	o.checks[ruleRoute]++
 	ever, _ := o.allowed(d.Flow.Service, -1)
 	if !slices.Contains(ever, s.service) {
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -53,6 +53,8 @@
 	lookups []group
 	// idle is how many routes without traffic there are.
 	idle int
+	// warmUpRate limits the new flows of servers that warm up; 0 is no limit.
+	warmUpRate float64
 }
 
 func newOperator(w *world) operator {
@@ -95,6 +97,9 @@
 	for i, part := range groups {
 		place := path.Child("any").Child(strconv.Itoa(i))
 		mustSet(tree, place, settings.KeyDiscover, part.service)
+		if o.warmUpRate > 0 {
+			mustSet(tree, place, settings.KeyWarmUpRate, strconv.FormatFloat(o.warmUpRate, 'g', -1, 64))
+		}
 		mustSet(tree, place, settings.KeyShare, strconv.FormatFloat(part.share, 'g', -1, 64))
 	}
 }
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -69,6 +69,11 @@
 	{"evacuate-outage", "the store falls silent just after a zone is evacuated; balancers restart meanwhile", (*world).evacuateOutage},
 	{"evacuate-restart", "every balancer is killed while a zone is evacuated and settings change quickly", (*world).evacuateRestart},
 	{"evacuate-dark", "the servers of a second zone fall silent while a zone is evacuated", (*world).evacuateDark},
+	{"cold-return", "the servers of a zone crash and come back together, cold, with a limit of rate", (*world).coldReturn},
+	{"cold-return-kill", "the same while most balancers of the zone are killed", both((*world).coldReturn, (*world).killMost)},
+	{"cold-return-split", "the same while half of the balancers are cut off from the store and each other", both((*world).coldReturn, (*world).cutHalf)},
+	{"cold-return-restart", "the same while balancers restart in turn", both((*world).coldReturn, (*world).rollingRestart)},
+	{"cold-evacuation", "a zone is evacuated, and its servers are cold with a limit of rate when it is taken back", (*world).coldEvacuation},
 	{"chaos", "a mix of all of this, drawn from the seed", (*world).chaos},
 }
 
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -14,9 +14,9 @@
 const (
 	serverSlots = 2
 	serverQueue = 8
-	// coldTime is how long a server is slow from its start, coldFactor how slow.
-	coldTime   = 2 * time.Second
-	coldFactor = 1.6
+	// usualColdTime is how long a server is slow from its start, coldFactor how slow.
+	usualColdTime = 2 * time.Second
+	coldFactor    = 1.6
 	// serveOn is how long beyond the drain bound a planned server serves, serveLong
 	// how long some do.
 	serveOn   = 2 * time.Second
@@ -57,6 +57,13 @@
 	begun   int
 	// disturbed is when the server was last disturbed.
 	disturbed time.Duration
+	// taken are the flows that it took while it warmed up.
+	taken []takenFlow
+}
+
+// takenFlow is when an opening packet was sent and when a server took it.
+type takenFlow struct {
+	sent, at time.Duration
 }
 
 // failure is how a server that is well by all signs fails a request.
@@ -147,7 +154,7 @@
 	}
 	s.world.store.write(directory.Backend{
 		ID: s.id, Group: s.service, Zone: s.zone, Address: s.address, Slots: serverSlots,
-		Draining: s.draining, WarmUp: max(0, s.coldAt+coldTime-s.world.Now),
+		Draining: s.draining, WarmUp: max(0, s.coldAt+s.world.coldTime-s.world.Now),
 	})
 }
 
@@ -183,6 +190,9 @@
 	}
 }
 
+// cold tells whether the server warms up.
+func (s *server) cold() bool { return s.world.Now < s.coldAt+s.world.coldTime }
+
 // crash ends the server without a word; reuse gives its address to another service.
 func (s *server) crash(reuse bool) {
 	s.end()
@@ -213,12 +223,13 @@
 // takeOpen answers an opening packet.
 func (s *server) takeOpen(via *node, d *datagram) {
 	f := s.flows[d.Flow]
-	if f == nil {
+	isNew := f == nil
+	if isNew {
 		f = &serverFlow{sequence: s.world.Random.Uint32(), parts: map[uint64]map[int]bool{}, ran: map[uint64]bool{}}
 		s.flows[d.Flow] = f
 	}
 	f.tag = uint32(d.Tag)
-	s.world.truth.openTaken(s, via, d)
+	s.world.truth.openTaken(s, via, d, isNew)
 	s.answerOpen(f, d.client, firstRepeat, 0)
 }
 
@@ -294,7 +305,7 @@
 	r.runs++
 	s.world.truth.ran(s, r)
 	work := float64(profiles[r.kind].work) * s.slow * (0.5 + s.world.Random.Float64())
-	if s.world.Now < s.coldAt+coldTime {
+	if s.cold() {
 		work *= coldFactor
 	}
 	s.world.After(time.Duration(work), func() {
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -60,6 +60,8 @@
 	settings *directory.Settings
 	entries  map[settings.BackendID]directory.Record
 	written  map[settings.BackendID]time.Duration
+	// warmAt is when each server has warmed up by its entry, with a heartbeat of leeway.
+	warmAt map[settings.BackendID]time.Duration
 	// evacuated has the revision of each zone's evacuation that is in force.
 	evacuated map[string]uint64
 	history   []change
@@ -78,6 +80,7 @@
 		world:     w,
 		entries:   map[settings.BackendID]directory.Record{},
 		written:   map[settings.BackendID]time.Duration{},
+		warmAt:    map[settings.BackendID]time.Duration{},
 		evacuated: map[string]uint64{},
 		unstable:  -contactBound,
 	}
@@ -128,10 +131,11 @@
 	}
 	s.written[backend.ID] = s.world.Now
 	known, live := s.entries[backend.ID]
-	if live && known.Backend.Draining == backend.Draining {
+	if live && known.Backend.Draining == backend.Draining && s.world.Now+backend.WarmUp <= s.warmAt[backend.ID] {
 		return true
 	}
 	s.revision++
+	s.warmAt[backend.ID] = s.world.Now + backend.WarmUp + heartbeat
 	record := directory.Record{Backend: backend, Revision: s.revision}
 	s.entries[backend.ID] = record
 	s.note(change{revision: s.revision, record: &record})
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -74,6 +74,10 @@
 	Deadlines bool
 	// ListingsAnew leaves a listing for what was known before it began, too.
 	ListingsAnew bool
+	// WarmUpLimit sends servers that warm up as many new flows as others.
+	WarmUpLimit bool
+	// WarmUpPlacers lets each balancer of a zone send its even share to servers that warm up.
+	WarmUpPlacers bool
 	// Evacuations leaves the operators' word on zones unheard.
 	Evacuations bool
 	// Differences applies a listing without what vanished since the last one.
@@ -88,9 +92,12 @@
 	evacuateBound = 3 * time.Second
 	graceBound    = 6 * time.Second
 	flowLife      = 60 * time.Second
-	backSlack     = 250 * time.Millisecond
-	reorderBound  = 2 * time.Second
-	recoverBound  = 12 * time.Second
+	// A server that warms up gets in any second at most the rate times the overshoot, plus the slack.
+	warmUpOvershoot = 1.5
+	warmUpSlack     = 5.0
+	backSlack       = 250 * time.Millisecond
+	reorderBound    = 2 * time.Second
+	recoverBound    = 12 * time.Second
 )
 
 // Delays of the network, one way.
@@ -128,6 +135,8 @@
 	silences int
 	// varied is set where a part of the answers of all servers is short and quick.
 	varied bool
+	// coldTime is how long servers warm up.
+	coldTime time.Duration
 	// lostAnswers is the part of servers' first answers to opening packets that are lost.
 	lostAnswers float64
 }
@@ -146,12 +155,13 @@
 		options.Traffic = 1
 	}
 	w := &world{
-		Clock:   virtual.New(options.Seed),
-		options: options,
-		routers: map[string]*router{},
-		servers: map[netip.AddrPort]*server{},
-		clients: map[flow.Key]*clientFlow{},
-		loss:    lossShare,
+		Clock:    virtual.New(options.Seed),
+		options:  options,
+		routers:  map[string]*router{},
+		servers:  map[netip.AddrPort]*server{},
+		clients:  map[flow.Key]*clientFlow{},
+		loss:     lossShare,
+		coldTime: usualColdTime,
 	}
 	w.truth = newObserver(w)
 	w.store = newStore(w)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -25,6 +25,8 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"gaugeyard/internal/steering"
 )
 
 const (
@@ -260,6 +262,27 @@
 	return elsewhere, elsewhere != nil
 }
 
+// Neighbours returns the balancers of the own zone by rank, as far as they are known.
+func (t *Table) Neighbours(now time.Duration) steering.Neighbours {
+	neighbours := steering.Neighbours{Own: uint64(t.rank)}
+	known := 0
+	for _, peer := range t.peers {
+		switch {
+		case peer.Zone != t.self.Zone:
+			continue
+		case !peer.everHeard:
+		case now-peer.heard <= aliveTime && !peer.Leaving:
+			neighbours.Live = append(neighbours.Live, uint64(peer.rank))
+		default:
+			neighbours.Silent++
+		}
+		known++
+	}
+	neighbours.Bounded = known >= maxZonePeers
+	slices.Sort(neighbours.Live)
+	return neighbours
+}
+
 // Place returns where this balancer stands by rank among the live ones of its zone that
 // it knows, itself included, how many there are, and how many in all zones.
 func (t *Table) Place(now time.Duration) (index, count, fleet int) {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -387,3 +387,25 @@
 		t.Errorf("a second later %+v", load)
 	}
 }
+
+// TestNeighboursAreThoseOfTheZone: live ones by rank, and how many are silent or leave.
+func TestNeighboursAreThoseOfTheZone(t *testing.T) {
+	table := New(Introduction{Control: address(0), Zone: "a"})
+	for i, zone := range []string{"a", "a", "b", "a"} {
+		table.Heard(0, &Hello{Control: address(i + 1), Zone: zone, Started: 1, Leaving: i == 3})
+	}
+	table.Introduce(0, Introduction{Control: address(9), Zone: "a"})
+	neighbours := table.Neighbours(time.Second)
+	if neighbours.Own != uint64(RankOf(address(0))) || len(neighbours.Live) != 2 || neighbours.Silent != 1 || neighbours.Bounded {
+		t.Errorf("%+v", neighbours)
+	}
+	if neighbours = table.Neighbours(2 * aliveTime); len(neighbours.Live) != 0 || neighbours.Silent != 3 {
+		t.Errorf("once all are silent: %+v", neighbours)
+	}
+	for i := range 2 * maxZonePeers {
+		table.Heard(0, &Hello{Control: address(20 + i), Zone: "a", Started: 1})
+	}
+	if neighbours = table.Neighbours(0); !neighbours.Bounded {
+		t.Errorf("of more than the table holds: %+v", neighbours)
+	}
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -52,6 +52,7 @@
 	KeyMaxDatagram     Key = "max_datagram"
 	KeyDiscover        Key = "discover"
 	KeyShare           Key = "share"
+	KeyWarmUpRate      Key = "warm_up_rate"
 )
 
 // Level is the depth of a node in the tree.
@@ -113,6 +114,7 @@
 	{KeyRefusalRetry, "1s", LevelRoot, LevelService, "1s to 10m", "Time after which a refused caller is told to come back.", canonicalDuration(time.Second, 10*time.Minute)},
 	{KeyDiscover, "", LevelGroup, LevelGroup, "name that servers announce, 1 to 200 characters", "The group's back ends are the servers that announce themselves under this name.", canonicalLabel},
 	{KeyShare, "1", LevelGroup, LevelGroup, "0 to 1000000", "Share of the service's new flows relative to its other groups.", canonicalFloat(0, 1000000)},
+	{KeyWarmUpRate, "0", LevelRoot, LevelGroup, "0 to 1000000", "New flows a second that one of the group's servers gets over all balancers while it announces that it warms up; 0 is no limit.", canonicalFloat(0, 1000000)},
 	{KeyMaxDatagram, "4KiB", LevelRoot, LevelService, "64B to 60KiB", "Largest datagram accepted from a caller or back end.", canonicalSize(64, 60<<10)},
 }
 
--- a/internal/settings/snapshot.go
+++ b/internal/settings/snapshot.go
@@ -63,6 +63,8 @@
 	Share float64
 	// SlowStart is the time over which a new back end's share grows to full.
 	SlowStart time.Duration
+	// WarmUpRate is how many new flows a second a back end gets while it warms up; 0 is no limit.
+	WarmUpRate float64
 }
 
 // Snapshot is a resolved tree at one revision. It is read-only.
@@ -245,10 +247,11 @@
 				continue
 			}
 			groups = append(groups, Group{
-				Path:      path,
-				Discover:  discover,
-				Share:     reader.float(KeyShare),
-				SlowStart: reader.duration(KeySlowStart),
+				Path:       path,
+				Discover:   discover,
+				Share:      reader.float(KeyShare),
+				SlowStart:  reader.duration(KeySlowStart),
+				WarmUpRate: reader.float(KeyWarmUpRate),
 			})
 		}
 	}
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -116,6 +116,8 @@
 	// askedAt is when the first opening packet went there that no sign of life has
 	// followed, 0 for none.
 	askedAt time.Duration
+	// warmUpNext is when this balancer may next send a new flow there while it warms up.
+	warmUpNext time.Duration
 	// doubtUntil ends the present doubt; doubt is how long it is.
 	doubtUntil, doubt time.Duration
 	// heardDoubtUntil ends the doubt that another balancer spoke of.
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -97,16 +97,19 @@
 // allows above the mean of all zones. Where back ends are equal the flow's hash
 // decides, so that balancers that know nothing yet agree and do not crowd one.
 func (s *Steerer) choose(now time.Duration, hash uint64, group *settings.Group, service *settings.Service, avoid *backendState) choice {
-	pool := s.view.Pool(group.Discover)
+	pool, limit := s.view.Pool(group.Discover), s.warmUpOf(group)
 	s.candidates = s.candidates[:0]
 	for _, member := range pool.Open {
 		state := s.stateOf(member)
+		if s.withholds(now, limit, member, state) {
+			continue
+		}
 		if s.config.Mechanisms.NoSuspicion || state != avoid && !state.suspected(now) && !s.doubts(now, state) {
 			s.addCandidate(now, hash, member, state)
 		}
 	}
 	if len(s.candidates) == 0 {
-		s.addLastResorts(now, hash, pool)
+		s.addLastResorts(now, hash, pool, limit)
 	}
 	s.weighFailures()
 	usual := s.usualAnswer()
@@ -166,16 +169,19 @@
 
 // addLastResorts adds back ends that are suspected, or else those whose entries
 // vanished moments ago, perhaps by mistake.
-func (s *Steerer) addLastResorts(now time.Duration, hash uint64, pool *directory.Pool) {
+func (s *Steerer) addLastResorts(now time.Duration, hash uint64, pool *directory.Pool, limit warmUp) {
 	for _, member := range pool.Open {
-		s.addCandidate(now, hash, member, s.stateOf(member))
+		if state := s.stateOf(member); !s.withholds(now, limit, member, state) {
+			s.addCandidate(now, hash, member, state)
+		}
 	}
 	if len(s.candidates) > 0 {
 		return
 	}
 	for _, member := range pool.Left {
-		if now-member.GoneAt <= s.lapseGrace(pool) {
-			s.addCandidate(now, hash, member, s.stateOf(member))
+		state := s.stateOf(member)
+		if now-member.GoneAt <= s.lapseGrace(pool) && !s.withholds(now, limit, member, state) {
+			s.addCandidate(now, hash, member, state)
 		}
 	}
 }
--- a/internal/steering/config.go
+++ b/internal/steering/config.go
@@ -14,6 +14,10 @@
 	// MaxFlows bounds the flows that are remembered; 0 is no bound. Others are
 	// forwarded by their tag alone.
 	MaxFlows int
+	// WarmUpOvershoot and WarmUpSlack bound the new flows that a back end gets in any second while it
+	// warms up, over all balancers: its group's rate times the first, plus the second. An overshoot
+	// below 1 counts as 1.
+	WarmUpOvershoot, WarmUpSlack float64
 	// Mechanisms are turned off by experiments alone.
 	Mechanisms Mechanisms
 }
@@ -40,6 +44,11 @@
 	NoPace bool
 	// NoLoad places by hash alone.
 	NoLoad bool
+	// NoWarmUpLimit sends back ends that warm up as many new flows as others.
+	NoWarmUpLimit bool
+	// EvenWarmUp lets each balancer of a zone send its even share of the rate to back ends there that
+	// warm up, whoever else does.
+	EvenWarmUp bool
 	// NoStandstill forwards opening packets that waited while the process stood still.
 	NoStandstill bool
 }
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -235,6 +235,7 @@
 		state.asked(now)
 	}
 	state.notePlaced(now)
+	state.warmUpNext = now + s.warmUpOf(group).interval
 	state.trial = state.trial || choice.trial
 	weights.count++
 	return Verdict{
--- a/internal/steering/turn.go
+++ b/internal/steering/turn.go
@@ -5,6 +5,8 @@
 type Place struct {
 	// Index is from 0 to Count-1; Count includes the balancer itself, 0 is unknown.
 	Index, Count int
+	// Zone are the live ones of the zone by hash.
+	Zone Neighbours
 	// Fleet is the number of live balancers of all zones that are known, itself included.
 	Fleet int
 }
--- /dev/null
+++ b/internal/steering/warmup_test.go
@@ -0,0 +1,189 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/placement"
+	"gaugeyard/internal/settings"
+)
+
+// TestAllThatMayPlaceStayWithinTheBound in any second, also where twice as many believe that they do.
+func TestAllThatMayPlaceStayWithinTheBound(t *testing.T) {
+	for _, rate := range []float64{0.5, 1, 2, 4, 8, 20, 200} {
+		for _, bounds := range []struct{ overshoot, slack float64 }{{1.5, 5}, {1, 0}, {2, 1}, {1, 20}} {
+			s := New(Config{Zone: "a", WarmUpOvershoot: bounds.overshoot, WarmUpSlack: bounds.slack})
+			limit := s.warmUpOf(&settings.Group{WarmUpRate: rate})
+			if !limit.limited {
+				t.Fatalf("rate %v has no limit", rate)
+			}
+			if limit.placers == 0 {
+				continue
+			}
+			// With a first flow at the begin of the span, and the last at its end.
+			each := 1 + int(time.Second/limit.interval)
+			if all, most := float64(each*limit.placers*warmUpDoubles), rate*bounds.overshoot+bounds.slack; all > most {
+				t.Errorf("rate %v, %+v: %v flows in a second, %v are allowed", rate, bounds, all, most)
+			}
+		}
+	}
+	s := New(Config{Zone: "a"})
+	if limit := s.warmUpOf(&settings.Group{}); limit.limited {
+		t.Errorf("no rate is a limit: %+v", limit)
+	}
+}
+
+// tableSize is how many neighbours each balancer of the test knows.
+const tableSize = 24
+
+// neighboursOf is what balancer i knows of those with the hashes: the nearest ones.
+func neighboursOf(hashes []uint64, i int) Neighbours {
+	n := Neighbours{Own: hashes[i], Bounded: len(hashes) > tableSize}
+	for j, other := range hashes {
+		if j == i {
+			continue
+		}
+		nearer := 0
+		for k, third := range hashes {
+			if k != i && third^hashes[i] < other^hashes[i] {
+				nearer++
+			}
+		}
+		if nearer < tableSize {
+			n.Live = append(n.Live, other)
+		}
+	}
+	return n
+}
+
+// TestFewBalancersPlaceAtEachBackEnd, however many the zone has and however few of them each knows.
+func TestFewBalancersPlaceAtEachBackEnd(t *testing.T) {
+	for _, count := range []int{1, 2, 5, 30, 100, 400} {
+		hashes := make([]uint64, count)
+		for i := range hashes {
+			hashes[i] = placement.Mix(uint64(i), 99)
+		}
+		known := make([]Neighbours, count)
+		for i := range known {
+			known[i] = neighboursOf(hashes, i)
+		}
+		const points = 200
+		total, most := 0, 0
+		for point := range uint64(points) {
+			placers := 0
+			for i := range known {
+				if known[i].nearest(placement.Mix(point, 7), warmUpPlacers) {
+					placers++
+				}
+			}
+			total += placers
+			most = max(most, placers)
+		}
+		if want := min(count, warmUpPlacers); total < points*want*9/10 || most > warmUpPlacers*warmUpDoubles {
+			t.Errorf("%d balancers: %.2f place at a back end, %d at the most; want about %d, at most %d",
+				count, float64(total)/points, most, want, warmUpPlacers*warmUpDoubles)
+		}
+	}
+}
+
+// TestABalancerThatIsCutOffPlacesNothing at back ends that warm up: others do in its place.
+func TestABalancerThatIsCutOffPlacesNothing(t *testing.T) {
+	n := Neighbours{Own: 5, Live: []uint64{1 << 60}, Silent: 12}
+	if n.nearest(5, warmUpPlacers) {
+		t.Error("a balancer that hears one of thirteen others places flows")
+	}
+	if n.Silent = 1; !n.nearest(5, warmUpPlacers) {
+		t.Error("the nearest balancer of three places nothing")
+	}
+}
+
+// coldFleet has its feed limited to 4 new flows a second at back ends that warm up; back end 1, of
+// the own zone, has just started.
+func coldFleet(t *testing.T) *fleet {
+	f := newFleet(t)
+	f.steerer.Reconfigure(Config{Zone: "a", FlowLife: time.Minute, WarmUpOvershoot: 1.5, WarmUpSlack: 5})
+	f.revision++
+	tree := settings.Tree{"": settings.Values{settings.KeyWarmUpRate: "4"}}
+	f.route(tree, "feed", feedAddress, map[string]string{"feed": "1"})
+	f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Settings: &directory.Settings{Version: 2, Revision: f.revision, Tree: tree}})
+	f.steerer.SetView(f.directory.View())
+	f.steerer.Pulse(f.now)
+	f.pass(settleTime + time.Second)
+	return f
+}
+
+// restart lets the feed's back ends start anew, cold.
+func (f *fleet) restart(ids ...settings.BackendID) {
+	for _, id := range ids {
+		f.revision++
+		backend := f.directory.View().Tagged(directory.TagOf(id))[0].Backend
+		backend.WarmUp = 8 * time.Second
+		f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Records: []directory.Record{{Backend: backend, Revision: f.revision}}})
+	}
+	f.steerer.SetView(f.directory.View())
+}
+
+// TestALoadBeyondTheLimitGoesToWarmBackEnds: 100 new flows in a second, one back end of six cold.
+func TestALoadBeyondTheLimitGoesToWarmBackEnds(t *testing.T) {
+	f := coldFleet(t)
+	f.restart(1)
+	cold := 0
+	for caller := range 100 {
+		verdict := f.open(caller, feedAddress, 0)
+		if verdict.Action != Forward {
+			t.Fatalf("a flow is not placed: %+v", verdict)
+		}
+		if verdict.Backend.ID == 1 {
+			cold++
+		}
+		f.pass(10 * time.Millisecond)
+	}
+	if cold < 1 || cold > 3 {
+		t.Errorf("the cold back end gets %d flows of this balancer in a second, 1 to 3 are its part", cold)
+	}
+	f.pass(8 * time.Second)
+	for caller := 200; caller < 300; caller++ {
+		if verdict := f.open(caller, feedAddress, 0); verdict.Backend.ID == 1 {
+			return
+		}
+	}
+	t.Error("a back end that is warm gets no flow")
+}
+
+// TestWhatNoBackEndMayTakeIsRefusedAtOnce: all are cold.
+func TestWhatNoBackEndMayTakeIsRefusedAtOnce(t *testing.T) {
+	f := coldFleet(t)
+	var ids []settings.BackendID
+	for _, member := range f.directory.View().Pool("feed").Open {
+		ids = append(ids, member.ID)
+	}
+	f.restart(ids...)
+	placed, refused := 0, 0
+	for caller := range 100 {
+		switch verdict := f.open(caller, feedAddress, 0); {
+		case verdict.Action == Forward:
+			placed++
+		case verdict.Action == Refuse && verdict.Reason == errkind.NoBackend:
+			refused++
+		default:
+			t.Fatalf("%+v", verdict)
+		}
+	}
+	if placed == 0 || refused == 0 || placed+refused != 100 {
+		t.Errorf("%d placed, %d refused", placed, refused)
+	}
+}
+
+// TestABalancerThatHasJustStartedLeavesColdBackEndsToOthers.
+func TestABalancerThatHasJustStartedLeavesColdBackEndsToOthers(t *testing.T) {
+	f := coldFleet(t)
+	f.steerer.begun = f.now
+	f.restart(1)
+	for caller := range 50 {
+		if verdict := f.open(caller, feedAddress, 0); verdict.Action != Forward || verdict.Backend.ID == 1 {
+			t.Fatalf("%+v", verdict)
+		}
+	}
+}
