--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -122,10 +122,11 @@
 	doubtUntil, doubt time.Duration
 	// heardDoubtUntil ends the doubt that another balancer spoke of.
 	heardDoubtUntil time.Duration
-	// stalled are the callers that sent data again in vain since the last sign of life, stalls
-	// what other balancers told of theirs, and lostUntil ends the time in which the back end counts
-	// as lost.
+	// stalled are the callers that sent data again in vain since the last sign of life, the last time at
+	// stalledAt; stalls is what other balancers told of theirs, and lostUntil ends the time in which the
+	// back end counts as lost.
 	stalled   []netip.Addr
+	stalledAt time.Duration
 	stalls    []heardStall
 	lostUntil time.Duration
 	// suspectUntil ends the present suspicion; suspicion is how long it was.
@@ -251,9 +252,10 @@
 	b.note(Suspected, now-askedAt, b.suspectUntil)
 }
 
-// suspected tells whether the back end gets no new flow for now.
+// suspected tells whether the back end gets no new flow for now, nor copies of opening packets: it
+// left two flows without an answer, or it is lost.
 func (b *backendState) suspected(now time.Duration) bool {
-	return now < b.suspectUntil
+	return now < b.suspectUntil || now < b.lostUntil
 }
 
 // noteFault counts a request that was left unanswered since askedAt.
--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -75,11 +75,10 @@
 		b.pool.noteRepeated(1)
 		return
 	}
-	caller := known.key.Caller.Addr()
-	if len(b.stalled) >= maxStalled || slices.Contains(b.stalled, caller) {
-		return
+	b.stalledAt = now
+	if caller := known.key.Caller.Addr(); len(b.stalled) < maxStalled && !slices.Contains(b.stalled, caller) {
+		b.stalled = append(b.stalled, caller)
 	}
-	b.stalled = append(b.stalled, caller)
 	s.raise(now)
 }
 
@@ -102,8 +101,11 @@
 func (s *Steerer) Stalls(now time.Duration, count int) []Stall {
 	var stalls []Stall
 	for id, b := range s.backends {
-		if len(b.stalled) > 0 || len(b.stalls) > 0 && now-b.progress < stallLife {
+		switch {
+		case b.freshStall(now):
 			stalls = append(stalls, Stall{id, len(b.stalled), now - b.progress})
+		case len(b.stalls) > 0 && now-b.progress < stallLife:
+			stalls = append(stalls, Stall{id, 0, now - b.progress})
 		}
 	}
 	slices.SortFunc(stalls, func(a, b Stall) int {
@@ -144,16 +146,27 @@
 	}
 }
 
+// freshStall tells whether a caller has sent data again in vain just now. Callers that did earlier count
+// with it, but not by themselves: nothing may have gone to the back end since, and it may be well again.
+// Without this a zone whose servers stood still for 5 s had flows reset there for as long as a run went
+// on by balancers that let no packet through (14 of 20 runs with 14 balancers a zone).
+func (b *backendState) freshStall(now time.Duration) bool {
+	return len(b.stalled) > 0 && now-b.stalledAt < stallLife
+}
+
 // lost tells whether a back end does not answer anyone any more: several callers have sent
 // data again in vain, here and at other balancers, and none of them saw a sign of life.
 func (s *Steerer) lost(now time.Duration, b *backendState) bool {
 	if now < b.lostUntil {
 		return true
 	}
-	if len(b.stalled) == 0 && len(b.stalls) == 0 || now-b.progress < lostSilence {
+	if now-b.progress < lostSilence {
 		return false
 	}
 	b.stalls = slices.DeleteFunc(b.stalls, func(h heardStall) bool { return now-h.at > stallLife })
+	if !b.freshStall(now) && !slices.ContainsFunc(b.stalls, func(h heardStall) bool { return h.callers > 0 }) {
+		return false
+	}
 	callers := len(b.stalled)
 	for _, heard := range b.stalls {
 		if now-heard.alive < lostSilence {
--- a/internal/steering/lost_test.go
+++ b/internal/steering/lost_test.go
@@ -224,9 +224,34 @@
 		t.Fatal("no flow is reset")
 	}
 	f.pass(lostTime + time.Second)
+	f.lively()
 	if verdict := f.established(12, feedAddress, 1, 1, 100); verdict.Action != Forward {
 		t.Errorf("after a while: %+v", verdict)
 	}
+	for _, stall := range f.steerer.Stalls(f.now, 8) {
+		t.Errorf("others still hear of it: %+v", stall)
+	}
+	// It is silent still: a single caller that asks in vain is enough now.
+	f.pass(200 * time.Millisecond)
+	f.lively()
+	f.established(12, feedAddress, 1, 1, 100)
+	if resets := f.steerer.TakeResets(); len(resets) != 1 {
+		t.Errorf("a back end that was lost is silent again: %d resets", len(resets))
+	}
+}
+
+// TestALostBackEndTakesNoNewFlow: it is known better than by a doubt that nobody is answered there.
+func TestALostBackEndTakesNoNewFlow(t *testing.T) {
+	f := silentFleet(t)
+	f.askInVain(0, 1, 2, 3)
+	if f.steerer.TakeResets() == nil {
+		t.Fatal("no flow is reset")
+	}
+	for caller := 300; caller < 360; caller++ {
+		if verdict := f.open(caller, feedAddress, 0); verdict.Backend.ID == 1 {
+			t.Fatal("a new flow goes to a back end that is lost")
+		}
+	}
 }
 
 // TestStallsAreToldInOneOrder: those that leave the most callers first, and never by the order
@@ -235,6 +260,7 @@
 	f := silentFleet(t)
 	for id := settings.BackendID(1); id <= 6; id++ {
 		state := f.steerer.backends[id]
+		state.stalledAt = f.now
 		for i := range 1 + int(id)%3 {
 			state.stalled = append(state.stalled, netip.AddrFrom4([4]byte{100, 64, 0, byte(i)}))
 		}
