Commands evacuate and restore: a zone of the product's own settings tree

Cause: operators could drain one back end at a time; a zone with many takes many edits, between which another edit may come. Change: setting `evacuated` of a zone node; its back ends get no new flow whatever their own state, which they keep. `gaugeyard evacuate ZONE` and `restore ZONE` set it in every service that has the zone, in one edit through the protocol of edits, so that a second operator's edit at the same moment is refused as a conflict and not lost; `status` shows who and since when, by the history. Weighed: `state` inherited from the zone (a back end that was undrained by name overrides it, and restoring would have to guess which were drained before). Measured: TestAZoneIsEvacuatedInAllServices, TestStatusNamesWhoEvacuatedAZone; served.txtar with real processes.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -64,6 +64,8 @@
 	Status    *operator.StatusCommand    `arg:"subcommand:status" help:"print the state of balancers and back ends"`
 	Drain     *operator.DrainCommand     `arg:"subcommand:drain" help:"end new flows to a back end"`
 	Undrain   *operator.UndrainCommand   `arg:"subcommand:undrain" help:"let new flows to a back end again"`
+	Evacuate  *operator.EvacuateCommand  `arg:"subcommand:evacuate" help:"end new flows to a zone"`
+	Restore   *operator.RestoreCommand   `arg:"subcommand:restore" help:"let new flows to a zone again"`
 	Republish *operator.RepublishCommand `arg:"subcommand:republish" help:"write what is in force back to a store that lost it"`
 	Explain   *explainCommand            `arg:"subcommand:explain" help:"tell from logs what became of a flow, and why"`
 	Timeline  *timelineCommand           `arg:"subcommand:timeline" help:"tell from logs what balancers believed when"`
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,6 +25,8 @@
 	Store     string             `json:"store"`
 	Balancers []BalancerStatus   `json:"balancers"`
 	Backends  []BackendAggregate `json:"backends"`
+	// Evacuated are the zones that take no new flows.
+	Evacuated []EvacuatedZone `json:"evacuated,omitempty"`
 	// Imbalance is the largest number of flows of an active back end over the mean
 	// of its service's back ends, for the service where it is worst.
 	Imbalance float64 `json:"imbalance"`
@@ -59,6 +62,9 @@
 	status := FleetStatus{Store: "reachable"}
 	if state, err := session.Store.Load(ctx); err == nil {
 		status.Newest = state.Head.Revision
+		// A store that gives the tree and not its history leaves out who did it.
+		edits, _ := session.Store.History(ctx, historyLimit)
+		status.Evacuated = evacuatedZones(state.Tree, edits)
 	} else {
 		status.Store = "unreachable"
 	}
@@ -146,6 +152,9 @@
 	for _, node := range s.Balancers {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%t\t%d\t%d\t%s%s\n", node.Address, node.Zone, node.Phase, node.Revision, len(node.Members), node.Settled, node.Flows, node.Owned, node.Waiting, node.Error)
 	}
+	for _, zone := range s.Evacuated {
+		fmt.Fprintf(w, "\nzone %s is evacuated, by %s since %s\n", zone.Zone, cmp.Or(zone.Author, "an older edit"), zone.Since.Format(time.RFC3339))
+	}
 	fmt.Fprintln(w, "\nBACK END\tADDRESS\tSTATE\tFLOWS\tIN FLIGHT")
 	for _, backend := range s.Backends {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\n", backend.Path, backend.Address, backend.State, backend.Flows, backend.InFlight)
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -35,6 +35,7 @@
 	KeyAddress         Key = "address"
 	KeyBackendsFrom    Key = "backends_from"
 	KeyState           Key = "state"
+	KeyEvacuated       Key = "evacuated"
 	KeyLoadAddress     Key = "load_address"
 	KeyWeight          Key = "weight"
 	KeySlots           Key = "slots"
@@ -98,6 +99,7 @@
 	{KeyAddress, "", LevelService, LevelBackend, "IP:port", "Where callers reach a service, or where a back end listens.", canonicalAddress},
 	{KeyBackendsFrom, "", LevelService, LevelService, "name of a service", "Uses the zones, groups and back ends of another service.", canonicalName},
 	{KeyState, "active", LevelBackend, LevelBackend, "active or drain", "A back end in drain gets no new flow.", canonicalWord("active", "drain")},
+	{KeyEvacuated, "false", LevelZone, LevelZone, "true or false", "The back ends of an evacuated zone get no new flow, whatever their state.", canonicalWord("true", "false")},
 	{KeyLoadAddress, "", LevelBackend, LevelBackend, "IP:port", "Where a back end reports its load over HTTP at /metrics; without it, it reports none.", canonicalAddress},
 	{KeyWeight, "1", LevelBackend, LevelBackend, "0.01 to 100", "Share of new flows relative to the group's other back ends.", canonicalFloat(0.01, 100)},
 	{KeySlots, "2", LevelRoot, LevelBackend, "1 to 4096", "Requests that a back end runs at once.", canonicalInt(1, 4096)},
--- a/internal/settings/snapshot.go
+++ b/internal/settings/snapshot.go
@@ -261,9 +261,10 @@
 func (s *Snapshot) resolveBackends(tree Tree, children childIndex, service Path) []*Backend {
 	var backends []*Backend
 	for _, zone := range children[service] {
+		evacuated := tree[zone][KeyEvacuated] == "true"
 		for _, group := range children[zone] {
 			for _, path := range children[group] {
-				backend := resolveBackend(tree, path, zone.Name())
+				backend := resolveBackend(tree, path, zone.Name(), evacuated)
 				if known := s.Backends[backend.ID]; known != nil {
 					backend = known
 				}
@@ -276,7 +277,7 @@
 	return backends
 }
 
-func resolveBackend(tree Tree, path Path, zone string) *Backend {
+func resolveBackend(tree Tree, path Path, zone string, evacuated bool) *Backend {
 	reader := reader{tree, path}
 	address := reader.address(KeyAddress)
 	return &Backend{
@@ -285,7 +286,7 @@
 		Path:        path,
 		Zone:        zone,
 		Address:     address,
-		Draining:    reader.text(KeyState) == "drain",
+		Draining:    reader.text(KeyState) == "drain" || evacuated,
 		Weight:      reader.float(KeyWeight),
 		Slots:       reader.int(KeySlots),
 		Connections: reader.int(KeyConnections),
