Steering: who is lost is told, and a back end whose entry is gone stays lost

Change: a balancer tells for how much longer it takes a back end for lost, at once; others take it over unless they saw a sign of life in the last 0.3 s, and any sign of life that is told ends it. A back end whose entry is gone needs no caller that asks in vain once more. Tests: TestABalancerTakesOverWhatIsLost, TestADepartedBackEndStaysLost.

--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -154,7 +154,7 @@
 
 // helloSize is about how many bytes a hello has on the wire.
 func helloSize(hello *peers.Hello) int {
-	const head, introduction, load, doubt, stall, failure, shape = 60, 24, 8, 9, 14, 7, 18
+	const head, introduction, load, doubt, stall, failure, shape = 60, 24, 8, 9, 18, 7, 18
 	return head + introduction*len(hello.Others) + load*len(hello.Loads) + doubt*len(hello.Doubted) + stall*len(hello.Stalls) + failure*len(hello.Failures) + shape*len(hello.Shapes)
 }
 
--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"gaugeyard/internal/directory"
 	"gaugeyard/internal/flow"
 	"gaugeyard/internal/settings"
 )
@@ -46,6 +47,8 @@
 	Callers int
 	// Silence is how long ago that sign of life was.
 	Silence time.Duration
+	// Lost is how much longer the balancer takes the back end for lost, 0 where it does not.
+	Lost time.Duration
 }
 
 // Reset is an established flow that is ended because its back end is lost.
@@ -102,10 +105,10 @@
 	var stalls []Stall
 	for id, b := range s.backends {
 		switch {
-		case b.freshStall(now):
-			stalls = append(stalls, Stall{id, len(b.stalled), now - b.progress})
+		case b.freshStall(now) || now < b.lostUntil:
+			stalls = append(stalls, Stall{id, len(b.stalled), now - b.progress, max(b.lostUntil-now, 0)})
 		case len(b.stalls) > 0 && now-b.progress < stallLife:
-			stalls = append(stalls, Stall{id, 0, now - b.progress})
+			stalls = append(stalls, Stall{Backend: id, Silence: now - b.progress})
 		}
 	}
 	slices.SortFunc(stalls, func(a, b Stall) int {
@@ -127,6 +130,7 @@
 			continue
 		}
 		b.hearStall(heardStall{from, stall.Callers, now - stall.Silence, now})
+		b.hearLost(now, &stall)
 		if stall.Callers > 0 && now-b.progress < stallLife {
 			s.raise(now)
 		}
@@ -146,6 +150,19 @@
 	}
 }
 
+// hearLost takes over that another balancer takes the back end for lost, for no longer than that one does:
+// one that has just started would else need callers of its own to find out. A sign of life that another
+// balancer saw since then ends it.
+func (b *backendState) hearLost(now time.Duration, stall *Stall) {
+	alive := now - stall.Silence
+	switch {
+	case stall.Lost > 0 && now-b.progress >= lostSilence:
+		b.lostUntil = max(b.lostUntil, now+min(stall.Lost, lostTime))
+	case now < b.lostUntil && alive > b.lostUntil-lostTime && stall.Silence < lostSilence:
+		b.lostUntil, b.stalled = 0, b.stalled[:0]
+	}
+}
+
 // freshStall tells whether a caller has sent data again in vain just now. Callers that did earlier count
 // with it, but not by themselves: nothing may have gone to the back end since, and it may be well again.
 // Without this a zone whose servers stood still for 5 s had flows reset there for as long as a run went
@@ -164,7 +181,7 @@
 		return false
 	}
 	b.stalls = slices.DeleteFunc(b.stalls, func(h heardStall) bool { return now-h.at > stallLife })
-	if !b.freshStall(now) && !slices.ContainsFunc(b.stalls, func(h heardStall) bool { return h.callers > 0 }) {
+	if !b.freshStall(now) && !s.departed(b.id) && !slices.ContainsFunc(b.stalls, func(h heardStall) bool { return h.callers > 0 }) {
 		return false
 	}
 	callers := len(b.stalled)
@@ -179,9 +196,21 @@
 	}
 	b.lostUntil = now + lostTime
 	b.note(Lost, now-b.progress, b.lostUntil)
+	s.raise(now)
 	return true
 }
 
+// departed tells whether the entry of a back end has vanished: one that several callers asked in vain is
+// not tried again then.
+func (s *Steerer) departed(id settings.BackendID) bool {
+	for _, member := range s.view.Tagged(directory.TagOf(id)) {
+		if member.ID == id {
+			return member.Gone
+		}
+	}
+	return false
+}
+
 // lostCallers returns how many callers must have sent data again in vain before one of the back
 // ends counts as lost.
 func (p *poolState) lostCallers() int {
--- a/internal/steering/lost_test.go
+++ b/internal/steering/lost_test.go
@@ -352,3 +352,52 @@
 		}
 	}
 }
+
+// TestABalancerTakesOverWhatIsLost from one that found it out, for no longer than that one says, and
+// until anybody sees a sign of life.
+func TestABalancerTakesOverWhatIsLost(t *testing.T) {
+	lost := Stall{Backend: 1, Callers: 2, Silence: 2 * time.Second, Lost: time.Second}
+	f := silentFleet(t)
+	f.established(0, feedAddress, 1, 1, 100)
+	f.steerer.HearStalls(f.now, otherBalancer, []Stall{lost})
+	if verdict := f.established(1, feedAddress, 1, 1, 100); verdict.Reason != errkind.BackendLost {
+		t.Errorf("a request at a back end that another balancer lost: %+v", verdict)
+	}
+	f.pass(1100 * time.Millisecond)
+	f.lively()
+	if verdict := f.established(2, feedAddress, 1, 1, 100); verdict.Action != Forward {
+		t.Errorf("after the time that was told: %+v", verdict)
+	}
+
+	f = silentFleet(t)
+	f.steerer.HearStalls(f.now, otherBalancer, []Stall{lost})
+	f.steerer.HearStalls(f.now, otherBalancer, []Stall{{Backend: 1, Silence: 5 * time.Millisecond}})
+	if verdict := f.established(1, feedAddress, 1, 1, 100); verdict.Action != Forward {
+		t.Errorf("another balancer saw a sign of life since: %+v", verdict)
+	}
+
+	f = silentFleet(t)
+	f.established(0, feedAddress, 1, 2, 100)
+	f.steerer.HearStalls(f.now, otherBalancer, []Stall{lost})
+	if verdict := f.established(1, feedAddress, 1, 1, 100); verdict.Action != Forward {
+		t.Errorf("this balancer has just seen a sign of life: %+v", verdict)
+	}
+	if !f.steerer.TakeAlarm() {
+		t.Error("the other one does not hear of it")
+	}
+}
+
+// TestADepartedBackEndStaysLost: its entry is gone as well, and nobody need try it again.
+func TestADepartedBackEndStaysLost(t *testing.T) {
+	f := silentFleet(t)
+	f.askInVain(0, 1, 2, 3)
+	if f.steerer.TakeResets() == nil {
+		t.Fatal("no flow is reset")
+	}
+	f.vanish(1)
+	f.pass(lostTime + time.Second)
+	f.lively()
+	if verdict := f.established(12, feedAddress, 1, 1, 100); verdict.Reason != errkind.BackendLost {
+		t.Errorf("a request at a back end that is lost and gone: %+v", verdict)
+	}
+}
