Hellos name 24 silent back ends; callers that asked in vain are told while that is news

(2) By review: callers were told for as long as a back end was lost, also where none had asked just now, so that others could renew what they knew by what they were told. Tests: TestWhatIsLostIsNotRenewedByWordOfMouth (fails with callers told throughout), TestAHelloFitsOneDatagram.

--- /dev/null
+++ b/internal/edge/hello_test.go
@@ -0,0 +1,45 @@
+package edge
+
+import (
+	"math"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/peers"
+	"gaugeyard/internal/settings"
+	"gaugeyard/internal/steering"
+)
+
+// TestAHelloFitsOneDatagram with all that it may name at once, each in the longest form.
+func TestAHelloFitsOneDatagram(t *testing.T) {
+	const long = time.Hour + 1
+	control := netip.MustParseAddrPort("255.255.255.255:65535")
+	hello := &peers.Hello{Control: control, Zone: "a-zone-with-a-long-name", Started: math.MaxInt64, Revision: math.MaxUint64, StoreAge: long, Full: true}
+	for range 4 {
+		hello.Others = append(hello.Others, peers.Introduction{Control: control, Zone: hello.Zone, Knows: true})
+	}
+	for range peers.MaxLoads {
+		hello.Loads = append(hello.Loads, peers.Load{Tag: math.MaxUint32, Units: 1 << 15, Steady: 1 << 15, Answers: 1 << 15, Millis: 1 << 17})
+	}
+	for range peers.MaxFailures {
+		hello.Failures = append(hello.Failures, peers.Failure{Tag: directory.Tag(math.MaxUint32), Units: 1 << 15})
+	}
+	for range peers.MaxDoubted {
+		hello.Doubted = append(hello.Doubted, settings.BackendID(math.MaxUint64))
+	}
+	for range peers.MaxStalls {
+		hello.Stalls = append(hello.Stalls, steering.Stall{Backend: math.MaxUint64, Callers: 8, Silence: long, Lost: 2 * time.Second})
+	}
+	for range peers.MaxShapes {
+		hello.Shapes = append(hello.Shapes, steering.Shape{})
+	}
+	datagram, err := encodeHello(hello)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(datagram) > maxDatagram {
+		t.Errorf("a hello has %d bytes, a datagram at most %d", len(datagram), maxDatagram)
+	}
+}
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -154,7 +154,7 @@
 	}
 	s.world.store.write(directory.Backend{
 		ID: s.id, Group: s.service, Zone: s.zone, Address: s.address, Slots: serverSlots,
-		Draining: s.draining, WarmUp: max(0, s.coldAt+s.world.coldTime-s.world.Now),
+		Draining: s.draining, WarmUp: max(0, s.warmAt()-s.world.Now),
 	})
 }
 
@@ -191,7 +191,15 @@
 }
 
 // cold tells whether the server warms up.
-func (s *server) cold() bool { return s.world.Now < s.coldAt+s.world.coldTime }
+func (s *server) cold() bool { return s.world.Now < s.warmAt() }
+
+// warmAt is when the server has warmed up. Those of the beginning do so before there is traffic.
+func (s *server) warmAt() time.Duration {
+	if s.coldAt == 0 {
+		return usualColdTime
+	}
+	return s.coldAt + s.world.coldTime
+}
 
 // crash ends the server without a word; reuse gives its address to another service.
 func (s *server) crash(reuse bool) {
--- a/internal/peers/round.go
+++ b/internal/peers/round.go
@@ -38,8 +38,9 @@
 	MaxLoads = 32
 	// MaxDoubted is how many doubted back ends a hello names.
 	MaxDoubted = 16
-	// MaxStalls is how many silent back ends a hello names.
-	MaxStalls = 8
+	// MaxStalls is how many silent back ends a hello names: a quarter of a service's may fall silent
+	// at once. They have about 20 bytes each, and a hello stays within one datagram with all it may name.
+	MaxStalls = 24
 	// MaxFailures is how many back ends that fail requests a hello names.
 	MaxFailures = 16
 	// MaxShapes is of how many addresses a hello tells what answers look like.
--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -42,8 +42,8 @@
 // Stall is what one balancer knows of a back end that leaves callers without a sign of life.
 type Stall struct {
 	Backend settings.BackendID
-	// Callers is how many different callers have sent data again in vain since the last sign
-	// of life that this balancer saw; 0 from one that contradicts others.
+	// Callers is how many different callers have sent data again in vain since the last sign of life
+	// that this balancer saw, one of them just now; 0 where none has, and from one that contradicts others.
 	Callers int
 	// Silence is how long ago that sign of life was.
 	Silence time.Duration
@@ -100,19 +100,24 @@
 }
 
 // Stalls returns what this balancer knows of back ends that leave callers without a sign of
-// life, here or at others, at most count: those that leave the most callers first.
+// life, here or at others, at most count: lost ones first, then those that leave the most callers.
 func (s *Steerer) Stalls(now time.Duration, count int) []Stall {
 	var stalls []Stall
 	for id, b := range s.backends {
+		known := Stall{Backend: id, Silence: now - b.progress, Lost: max(b.lostUntil-now, 0)}
 		switch {
-		case b.freshStall(now) || now < b.lostUntil:
-			stalls = append(stalls, Stall{id, len(b.stalled), now - b.progress, max(b.lostUntil-now, 0)})
+		case b.freshStall(now):
+			// Callers of earlier are no news: others would renew what they know by them.
+			known.Callers = len(b.stalled)
+			stalls = append(stalls, known)
+		case known.Lost > 0:
+			stalls = append(stalls, known)
 		case len(b.stalls) > 0 && now-b.progress < stallLife:
-			stalls = append(stalls, Stall{Backend: id, Silence: now - b.progress})
+			stalls = append(stalls, known)
 		}
 	}
 	slices.SortFunc(stalls, func(a, b Stall) int {
-		return cmp.Or(cmp.Compare(b.Callers, a.Callers), cmp.Compare(a.Backend, b.Backend))
+		return cmp.Or(cmp.Compare(min(b.Lost, 1), min(a.Lost, 1)), cmp.Compare(b.Callers, a.Callers), cmp.Compare(a.Backend, b.Backend))
 	})
 	return stalls[:min(count, len(stalls))]
 }
@@ -131,7 +136,7 @@
 		}
 		b.hearStall(heardStall{from, stall.Callers, now - stall.Silence, now})
 		b.hearLost(now, &stall)
-		if stall.Callers > 0 && now-b.progress < stallLife {
+		if (stall.Callers > 0 || stall.Lost > 0) && now-b.progress < stallLife {
 			s.raise(now)
 		}
 		if s.lost(now, b) {
--- a/internal/steering/lost_test.go
+++ b/internal/steering/lost_test.go
@@ -401,3 +401,21 @@
 		t.Errorf("a request at a back end that is lost and gone: %+v", verdict)
 	}
 }
+
+// TestWhatIsLostIsNotRenewedByWordOfMouth: callers that asked in vain are told while that is news, and
+// after that only for how much longer the back end is lost.
+func TestWhatIsLostIsNotRenewedByWordOfMouth(t *testing.T) {
+	f := silentFleet(t)
+	f.askInVain(0, 1, 2, 3)
+	if told := f.steerer.Stalls(f.now, 8); len(told) != 1 || told[0].Callers != 4 || told[0].Lost != lostTime {
+		t.Errorf("at once %+v is told", told)
+	}
+	f.pass(time.Second)
+	if told := f.steerer.Stalls(f.now, 8); len(told) != 1 || told[0].Callers != 0 || told[0].Lost != lostTime-time.Second {
+		t.Errorf("a second later %+v is told", told)
+	}
+	f.pass(lostTime)
+	if told := f.steerer.Stalls(f.now, 8); len(told) != 0 {
+		t.Errorf("in the end %+v is told", told)
+	}
+}
