--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -44,7 +44,9 @@
 	// Address is where the back end listens, Group what it serves.
 	Address string `json:"address,omitempty"`
 	Group   string `json:"group,omitempty"`
-	Reason  string `json:"reason,omitempty"`
+	// Zone is where the back end is, or the zone that operators evacuate or take back.
+	Zone   string `json:"zone,omitempty"`
+	Reason string `json:"reason,omitempty"`
 	// Error is an error as it was written, a text mostly.
 	Error json.RawMessage `json:"error,omitempty"`
 	// From is who told: the store, or the address of a balancer.
@@ -80,6 +82,8 @@
 	BackendAdded     = "back end added"
 	BackendDraining  = "back end draining"
 	BackendGone      = "back end gone"
+	ZoneEvacuated    = "zone evacuated"
+	ZoneRestored     = "zone restored"
 	BackendDoubted   = "back end doubted"
 	BackendSuspected = "back end suspected"
 	BackendLost      = "back end lost"
--- a/internal/logs/timeline/timeline.go
+++ b/internal/logs/timeline/timeline.go
@@ -52,6 +52,18 @@
 	Until time.Time
 }
 
+// Evacuation is one word of the operators on a zone and when balancers heard it.
+type Evacuation struct {
+	Zone string
+	// Restored is set where the zone was taken back.
+	Restored bool
+	Revision uint64
+	// First and Last are when balancers that ran then heard it; LastNode is the last of them.
+	First, Last time.Time
+	Balancers   int
+	LastNode    string
+}
+
 // Moment is the sum over all balancers at one time.
 type Moment struct {
 	At time.Time
@@ -65,6 +77,7 @@
 type Day struct {
 	From, Until time.Time
 	Versions    []Version
+	Evacuations []Evacuation
 	Runs        []Run
 	Outages     []Outage
 	// Added, Draining and Gone count back ends, each once.
@@ -80,7 +93,7 @@
 	}
 	day.From, day.Until = lines[0].At, lines[len(lines)-1].At
 	b := &builder{
-		open: map[string]*Run{}, lost: map[string]*Outage{}, versions: map[uint64][]logs.Line{},
+		open: map[string]*Run{}, lost: map[string]*Outage{}, versions: map[uint64][]logs.Line{}, zones: map[zoneWord][]logs.Line{},
 		seen: map[string]map[string]bool{}, version: map[string]uint64{},
 	}
 	for i := range lines {
@@ -97,6 +110,8 @@
 	outages  []*Outage
 	lost     map[string]*Outage
 	versions map[uint64][]logs.Line
+	// zones has the lines of each word on a zone.
+	zones map[zoneWord][]logs.Line
 	// seen has the back ends of each message.
 	seen    map[string]map[string]bool
 	version map[string]uint64
@@ -127,6 +142,9 @@
 		b.version[line.Node] = line.Version
 		b.newest = max(b.newest, line.Version)
 		b.versions[line.Version] = append(b.versions[line.Version], *line)
+	case logs.ZoneEvacuated, logs.ZoneRestored:
+		word := zoneWord{line.Zone, line.Message, line.Revision}
+		b.zones[word] = append(b.zones[word], *line)
 	case logs.StoreLost:
 		outage := &Outage{Node: line.Node, From: line.At}
 		b.lost[line.Node] = outage
@@ -169,10 +187,32 @@
 		day.Versions = append(day.Versions, b.spread(version, lines))
 	}
 	slices.SortFunc(day.Versions, func(x, y Version) int { return cmp.Compare(x.Version, y.Version) })
+	for word, lines := range b.zones {
+		day.Evacuations = append(day.Evacuations, b.heard(word, lines))
+	}
+	slices.SortFunc(day.Evacuations, func(x, y Evacuation) int { return x.First.Compare(y.First) })
 	day.Added, day.Draining, day.Gone = len(b.seen[logs.BackendAdded]), len(b.seen[logs.BackendDraining]), len(b.seen[logs.BackendGone])
 	day.Moments = b.moments
 }
 
+// zoneWord is what was said of which zone; it is told apart by the store's revision.
+type zoneWord struct {
+	zone, message string
+	revision      uint64
+}
+
+// heard tells when the balancers heard a word on a zone that ran when the first did.
+func (b *builder) heard(word zoneWord, lines []logs.Line) Evacuation {
+	told := Evacuation{Zone: word.zone, Restored: word.message == logs.ZoneRestored, Revision: word.revision, First: lines[0].At}
+	for _, line := range lines {
+		if b.ranAt(line.Node, told.First, line.At) {
+			told.Last, told.LastNode = line.At, line.Node
+			told.Balancers++
+		}
+	}
+	return told
+}
+
 // spread tells when a version came into force on the balancers that ran when it first did.
 func (b *builder) spread(version uint64, lines []logs.Line) Version {
 	first := lines[0].At
@@ -205,6 +245,17 @@
 		p.Line("  version %d (revision %d): first %s, median +%d ms, last +%d ms on %s, %d balancers", v.Version, v.Revision,
 			v.First.Format(logs.ClockFormat), v.Median.Sub(v.First).Milliseconds(), v.Last.Sub(v.First).Milliseconds(), v.LastNode, v.Balancers)
 	}
+	if len(d.Evacuations) > 0 {
+		p.Line("zones:")
+	}
+	for _, e := range d.Evacuations {
+		said := "evacuated"
+		if e.Restored {
+			said = "restored"
+		}
+		p.Line("  %s %s (revision %d): first %s, last +%d ms on %s, %d balancers", e.Zone, said, e.Revision,
+			e.First.Format(logs.ClockFormat), e.Last.Sub(e.First).Milliseconds(), e.LastNode, e.Balancers)
+	}
 	p.Line("balancers:")
 	for _, run := range d.Runs {
 		p.Line("  %s %s", run.Node, describeRun(&run))
--- a/internal/logs/timeline/timeline_test.go
+++ b/internal/logs/timeline/timeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -73,3 +74,29 @@
 		t.Errorf("picture: %v", err)
 	}
 }
+
+// TestEvacuationsOfZonesAreOnTheTimeline, each with when the balancers heard of it that ran then.
+func TestEvacuationsOfZonesAreOnTheTimeline(t *testing.T) {
+	zone := func(second float64, node, message string, revision uint64) logs.Line {
+		line := at(second, node, message, 0)
+		line.Zone, line.Revision = "za", revision
+		return line
+	}
+	day := Of([]logs.Line{
+		at(0, "n1", logs.Started, 0), at(0, "n2", logs.Started, 0),
+		zone(3, "n1", logs.ZoneEvacuated, 40), zone(3.2, "n2", logs.ZoneEvacuated, 40),
+		at(5, "n3", logs.Started, 0), zone(5.1, "n3", logs.ZoneEvacuated, 40),
+		zone(9, "n2", logs.ZoneRestored, 52), zone(9.4, "n1", logs.ZoneRestored, 52), at(10, "n3", logs.Stopped, 0),
+	})
+	want := []Evacuation{
+		{Zone: "za", Revision: 40, First: base.Add(3 * time.Second), Last: base.Add(3200 * time.Millisecond), Balancers: 2, LastNode: "n2"},
+		{Zone: "za", Restored: true, Revision: 52, First: base.Add(9 * time.Second), Last: base.Add(9400 * time.Millisecond), Balancers: 2, LastNode: "n1"},
+	}
+	if !slices.Equal(day.Evacuations, want) {
+		t.Fatalf("%+v", day.Evacuations)
+	}
+	var text strings.Builder
+	if err := day.WriteText(&text); err != nil || !strings.Contains(text.String(), "za evacuated (revision 40): first 14:41:03") {
+		t.Errorf("%v in\n%s", err, text.String())
+	}
+}
--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -182,7 +182,7 @@
 	if now < b.lostUntil {
 		return true
 	}
-	if now-b.progress < lostSilence {
+	if len(b.stalled) == 0 && len(b.stalls) == 0 || now-b.progress < lostSilence {
 		return false
 	}
 	b.stalls = slices.DeleteFunc(b.stalls, func(h heardStall) bool { return now-h.at > stallLife })
