Soak: zones are evacuated in each phase, and the rule is judged

Cause: evacuations were judged by the emulator alone; the processes, their sockets and the adapter were not. Change: the stand-in writes and removes the entry of a zone, judges new flows to its servers through balancers in touch, and a sabotage hides the word from the store to show that the rule can fail.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -635,3 +635,11 @@
 		t.Fatalf("%q, %v", buffer[:length], err)
 	}
 }
+
+// TestABoundThatThePlatformDoesNotHaveKeepsItsDefault: the template leaves its value empty.
+func TestABoundThatThePlatformDoesNotHaveKeepsItsDefault(t *testing.T) {
+	config, _ := ParseConfig([]byte("bounds:\n  flow_life: 60s\n  warm_up_overshoot: \n  warm_up_slack: \n"))
+	if config.Bounds.WarmUpOvershoot != 1 || config.Bounds.WarmUpSlack != 0 || config.Bounds.FlowLife != time.Minute {
+		t.Errorf("%+v", config.Bounds)
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -48,7 +48,8 @@
 var Sabotages = map[string]tagged.Rule{
 	string(tagged.WrongBody): tagged.Mixed, string(tagged.RunTwice): tagged.Unasked, string(tagged.WrongService): tagged.Route,
 	string(tagged.WrongTag): tagged.Flow, string(tagged.ForgedReset): tagged.Flow, string(tagged.HiddenDrain): tagged.Drain,
-	SabotageStale: tagged.Config, SabotageNoStart: tagged.Recover, SabotageForget: tagged.Lost,
+	string(tagged.HiddenEvacuation): tagged.Evac,
+	SabotageStale:                   tagged.Config, SabotageNoStart: tagged.Recover, SabotageForget: tagged.Lost,
 }
 
 // runner is one run.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -66,6 +66,8 @@
 	ServerReplaced Kind = "server-replaced"
 	ServerQuiet    Kind = "server-quiet"
 	ServerCrashed  Kind = "server-crashed"
+	// ZoneEvacuated lets a zone take no new flow for evacuatedFor.
+	ZoneEvacuated Kind = "zone-evacuated"
 	// RouteAdded, RouteDropped, RoutesStorm and RoutesMany are edits of the operators.
 	RouteAdded   Kind = "route-added"
 	RouteDropped Kind = "route-dropped"
@@ -77,12 +79,13 @@
 var Kinds = []Kind{
 	Stop, Kill, KillAll, Pause, Reload, Cut, CutInward, CutOutward, Lossy, Delayed, PeersCut, PeersDelayed, PeersReset,
 	StoreSilent, StoreBusy, StoreThrottling, StoreResetting, StoreSlow, StoreLosing, StoreDown, StoreCompacted,
-	ServerReplaced, ServerQuiet, ServerCrashed, RouteAdded, RouteDropped, RoutesStorm, RoutesMany, ConnectionsSilent,
+	ServerReplaced, ServerQuiet, ServerCrashed, RouteAdded, RouteDropped, RoutesStorm, RoutesMany, ConnectionsSilent, ZoneEvacuated,
 }
 
-// drawnKinds are those of which a phase has some by chance. Connections that fall silent come once
-// in each phase and are drawn apart, so that the schedules of earlier seeds stay what they were.
-var drawnKinds = Kinds[:len(Kinds)-1]
+// drawnKinds are those of which a phase has some by chance. Connections that fall silent and zones that are
+// evacuated come once in each phase and are drawn apart, so that the schedules of earlier seeds stay what
+// they were.
+var drawnKinds = Kinds[:len(Kinds)-2]
 
 // Event is one trouble of a schedule.
 type Event struct {
@@ -110,12 +113,15 @@
 	mostFor  = 5 * time.Second
 	// silentStream names the random numbers by which ConnectionsSilent is drawn.
 	silentStream = 1 << 32
+	// zoneStream names those by which ZoneEvacuated is drawn.
+	zoneStream = 1 << 33
 )
 
 // Draw returns the schedule of a seed: phases of trouble with quiet between them. Equal
 // arguments give equal schedules.
 func Draw(seed uint64, length time.Duration, balancers int) []Event {
 	drawn, apart := rand.New(rand.NewPCG(seed, uint64(balancers))), rand.New(rand.NewPCG(seed, silentStream))
+	zones := rand.New(rand.NewPCG(seed, zoneStream))
 	var events []Event
 	for phase := calmStart; phase < length-calmEnd; phase += phaseTime + quietTime {
 		end := min(phase+phaseTime, length-calmEnd)
@@ -128,6 +134,8 @@
 		if end > phase {
 			at := phase + time.Duration(apart.Int64N(int64(end-phase)))
 			events = append(events, Event{At: at.Round(time.Millisecond), Kind: ConnectionsSilent, For: leastFor})
+			at = phase + (end-phase)/2 + time.Duration(zones.Int64N(int64((end-phase)/2)))
+			events = append(events, Event{At: at.Round(time.Millisecond), Kind: ZoneEvacuated, For: leastFor})
 		}
 		// Edits and servers that leave in the quiet show whether they are in force in time.
 		for _, kind := range []Kind{RouteAdded, RouteDropped, ServerReplaced, ServerQuiet} {
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -42,6 +42,8 @@
 		r.world.ReplaceServer(r.drawn, event.Kind == ServerQuiet)
 	case ServerCrashed:
 		r.world.CrashServer(r.drawn)
+	case ZoneEvacuated:
+		r.world.EvacuateZone(r.drawn, evacuatedFor)
 	case RouteAdded:
 		r.world.AddRoutes(1)
 	case RouteDropped:
@@ -59,6 +61,9 @@
 	// stormEdits follow each other by stormGap.
 	stormEdits = 10
 	stormGap   = 200 * time.Millisecond
+	// evacuatedFor is how long a zone stays evacuated: until the quiet after the phase shows whether all
+	// balancers know it.
+	evacuatedFor = 14 * time.Second
 	// peersDelay is by how much the words of other balancers are delayed.
 	peersDelay = 300 * time.Millisecond
 )
--- a/internal/standin/tagged/actions.go
+++ b/internal/standin/tagged/actions.go
@@ -110,6 +110,27 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, w.config.Network, 100 + number, byte(10 + w.created%200)}), serverPort)
 }
 
+// evacuationKey is the store's key of a zone's evacuation.
+func evacuationKey(zone string) string { return "op/evacuate/" + zone }
+
+// EvacuateZone lets a zone take no new flow for a while, unless one is evacuated already.
+func (w *World) EvacuateZone(drawn *rand.Rand, length time.Duration) {
+	if w.judge.anyEvacuated() {
+		return
+	}
+	zone := w.zones[drawn.IntN(len(w.zones))]
+	if w.config.Sabotage != HiddenEvacuation {
+		w.store.Put(evacuationKey(zone), struct{}{})
+	}
+	w.judge.evacuated(zone, true)
+	w.say("the operators evacuate %s for %v", zone, length)
+	time.AfterFunc(length, func() {
+		w.judge.evacuated(zone, false)
+		w.store.Remove(evacuationKey(zone))
+		w.say("the operators take %s back", zone)
+	})
+}
+
 // StopStore lets the store answer nobody for a while.
 func (w *World) StopStore(length time.Duration) {
 	w.judge.touch.disturbStore(time.Now().Add(length))
--- a/internal/standin/tagged/judge.go
+++ b/internal/standin/tagged/judge.go
@@ -21,9 +21,11 @@
 	homes    map[netip.AddrPort]*server
 	strays   map[netip.AddrPort]bool
 	left     map[*server]time.Time
-	ended    map[*server]time.Time
-	routes   map[netip.AddrPort]*routeState
-	shown    map[netip.AddrPort]shownVersion
+	// emptied is since when each zone is evacuated.
+	emptied map[string]time.Time
+	ended   map[*server]time.Time
+	routes  map[netip.AddrPort]*routeState
+	shown   map[netip.AddrPort]shownVersion
 	// killed are the times at which all balancers were up again after all were killed.
 	killed   []time.Time
 	occasion map[Rule]int
@@ -56,7 +58,7 @@
 	return &judge{
 		touch: newTouch(), started: time.Now(), timed: true,
 		requests: map[string]*requestState{}, begun: map[*server]int{}, homes: map[netip.AddrPort]*server{},
-		strays: map[netip.AddrPort]bool{}, left: map[*server]time.Time{}, ended: map[*server]time.Time{},
+		strays: map[netip.AddrPort]bool{}, left: map[*server]time.Time{}, emptied: map[string]time.Time{}, ended: map[*server]time.Time{},
 		routes: map[netip.AddrPort]*routeState{}, shown: map[netip.AddrPort]shownVersion{}, occasion: map[Rule]int{},
 	}
 }
@@ -135,6 +137,7 @@
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
 	j.judgeDrain(s, balancer, now)
+	j.judgeEvacuation(s, balancer, now)
 	j.judgeRoute(s, p, balancer, now)
 }
 
@@ -148,6 +151,37 @@
 	}
 }
 
+// judgeEvacuation has something to judge whenever a balancer in touch brings a flow anywhere while a zone
+// has been evacuated for longer than the bound.
+func (j *judge) judgeEvacuation(s *server, balancer netip.AddrPort, now time.Time) {
+	for zone, since := range j.emptied {
+		if !j.timed || now.Sub(since) <= evacuateTime || !j.touch.quietSince(balancer, now.Add(-contactTime-evacuateTime)) {
+			continue
+		}
+		j.occasion[Evac]++
+		if s.zone == zone {
+			j.note(Evac, "server %x takes a flow through %s %v after %s was evacuated", s.id, balancer, now.Sub(since), zone)
+		}
+	}
+}
+
+// evacuated notes that the store has accepted that a zone is evacuated, or taken back.
+func (j *judge) evacuated(zone string, active bool) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	delete(j.emptied, zone)
+	if active {
+		j.emptied[zone] = time.Now()
+	}
+}
+
+// anyEvacuated tells whether a zone is evacuated now.
+func (j *judge) anyEvacuated() bool {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return len(j.emptied) > 0
+}
+
 func (j *judge) judgeRoute(s *server, p *packet, balancer netip.AddrPort, now time.Time) {
 	route := j.routes[p.destination]
 	j.occasion[Route]++
--- a/internal/standin/tagged/judge_test.go
+++ b/internal/standin/tagged/judge_test.go
@@ -29,6 +29,7 @@
 
 func TestWhatTheJudgeCallsBroken(t *testing.T) {
 	feed, other := &server{id: 1, service: feedService}, &server{id: 2, service: feedService}
+	inZone := &server{id: 4, service: feedService, zone: "a"}
 	ingest := &server{id: 3, service: ingestService}
 	opening := &packet{source: testCaller, destination: testRoute, flags: flagSYN}
 	for name, c := range map[string]struct {
@@ -62,6 +63,28 @@
 			j.touch.disturbStore(time.Now().Add(-contactTime))
 			j.opens(feed, opening, testBalancer)
 		}, ""},
+		"a flow to a zone that was evacuated long ago": {func(j *judge) {
+			j.emptied["a"] = time.Now().Add(-2 * evacuateTime)
+			j.opens(inZone, opening, testBalancer)
+		}, Evac},
+		"a flow to another zone meanwhile": {func(j *judge) {
+			j.emptied["a"] = time.Now().Add(-2 * evacuateTime)
+			j.opens(feed, opening, testBalancer)
+		}, ""},
+		"a flow to a zone that was just evacuated": {func(j *judge) {
+			j.evacuated("a", true)
+			j.opens(inZone, opening, testBalancer)
+		}, ""},
+		"a flow to a zone that was taken back": {func(j *judge) {
+			j.emptied["a"] = time.Now().Add(-2 * evacuateTime)
+			j.evacuated("a", false)
+			j.opens(inZone, opening, testBalancer)
+		}, ""},
+		"a flow to an evacuated zone through a balancer that was cut off": {func(j *judge) {
+			j.emptied["a"] = time.Now().Add(-2 * evacuateTime)
+			j.touch.disturb(testBalancer, time.Now().Add(-contactTime))
+			j.opens(inZone, opening, testBalancer)
+		}, ""},
 		"a route refused that is long there": {func(j *judge) {
 			ago(&j.routes[testRoute].fromAt, 2*applyTime)
 			j.probed(testRoute, testBalancer, time.Now(), false)
--- a/internal/standin/tagged/rules.go
+++ b/internal/standin/tagged/rules.go
@@ -16,6 +16,8 @@
 	Flow Rule = "FLOW"
 	// Drain: a server that left takes a new flow later than it may.
 	Drain Rule = "DRAIN"
+	// Evac: a server of an evacuated zone takes a new flow later than it may.
+	Evac Rule = "EVAC"
 	// Config: a new flow is handled as only an older configuration allows, too late
 	// after a newer one was accepted or after a balancer has shown that it knows it.
 	Config Rule = "CONFIG"
@@ -26,7 +28,7 @@
 )
 
 // Rules are all rules, in the order of reports.
-var Rules = []Rule{Mixed, Unasked, Route, Flow, Drain, Config, Lost, Recover}
+var Rules = []Rule{Mixed, Unasked, Route, Flow, Drain, Evac, Config, Lost, Recover}
 
 // Breach is one broken rule.
 type Breach struct {
--- a/internal/standin/tagged/touch.go
+++ b/internal/standin/tagged/touch.go
@@ -13,6 +13,8 @@
 	contactTime = 4 * time.Second
 	// drainTime is how long after a server left new flows may still reach it.
 	drainTime = 3 * time.Second
+	// evacuateTime is how long after a zone was evacuated new flows may still reach its servers.
+	evacuateTime = 3 * time.Second
 	// applyTime is how long after it was accepted a configuration may not be in force.
 	applyTime = 3 * time.Second
 	// rollbackSlack is how long after a balancer has shown a version an older one may
--- a/internal/standin/tagged/world.go
+++ b/internal/standin/tagged/world.go
@@ -54,6 +54,8 @@
 	WrongService Sabotage = "wrong-service"
 	// HiddenDrain lets servers leave without a word in the store.
 	HiddenDrain Sabotage = "hidden-drain"
+	// HiddenEvacuation lets operators evacuate zones without a word in the store.
+	HiddenEvacuation Sabotage = "hidden-evacuation"
 	// WrongTag changes the tag of packets on open flows, ForgedReset resets open flows.
 	WrongTag    Sabotage = "wrong-tag"
 	ForgedReset Sabotage = "forged-reset"
