--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -19,11 +19,15 @@
 //	state            put there by                              ended by
 //	doubted          60 ms without an answer to an opening     a sign of life, or 0.5 to 8 s
 //	suspected        two flows without an answer               a sign of life, or 2 to 8 s
-//	lost             four callers and more ask in vain         a sign of life, or 2 s; flows that
-//	                                                           may be repeated are reset
+//	lost             four callers and more ask in vain         a sign of life, or 2 s while its
+//	                                                           entry is there; flows that may be
+//	                                                           repeated are reset
 //	faulty           requests unanswered for 0.4 s             counts as load, fades in seconds
 //	out of rotation  two answers that look like failures       7 s and longer
 //	slow, cold       answers that take long, its entry         answers that do not
+//	cold, limited    its entry, where its group has a rate     the end of the warm-up; few
+//	                                                           balancers place flows there
+//	evacuated        the operators' word on its zone           the same; it is in no pool
 //
 // Guarantees: an established flow goes where its tag or its record says, never elsewhere
 // by load; a packet whose tag names nobody is dropped and never refused; an opening packet
