Emulator: judging zones and answers of servers are files of their own

Change: observer_zone.go and server_answer.go; code moved, the judgement of evacuations has a function of its own.

--- a/internal/emulator/observer.go
+++ b/internal/emulator/observer.go
@@ -79,16 +79,6 @@
 	}
 }
 
-// evacuated notes that the store has taken that a zone is evacuated, or taken back.
-func (o *observer) evacuated(zone string, active bool) {
-	if active {
-		o.emptied[zone] = o.world.Now
-		return
-	}
-	delete(o.emptied, zone)
-	o.takenBack[zone] = o.world.Now
-}
-
 // returned notes that a server announces itself as ready, perhaps again.
 func (o *observer) returned(id settings.BackendID) {
 	delete(o.leftAt, id)
@@ -110,25 +100,6 @@
 	return services, absent
 }
 
-// warmUpTaken judges in each span of a second how many flows a server takes while it warms up.
-func (o *observer) warmUpTaken(s *server, d *datagram) {
-	rate := o.world.operator.warmUpRate
-	if rate == 0 || s.coldAt == 0 || !s.cold() {
-		return
-	}
-	o.checks[ruleWarmUp]++
-	s.taken = append(s.taken, takenFlow{d.sent, o.world.Now})
-	within := 0
-	for _, taken := range s.taken {
-		if taken.sent >= o.world.Now-time.Second {
-			within++
-		}
-	}
-	if bound := rate*warmUpOvershoot + warmUpSlack; float64(within) > bound {
-		o.broken(ruleWarmUp, "server %s takes %d flows in a second while it warms up, %g are allowed", idText(s.id), within, bound)
-	}
-}
-
 // openTaken judges where an opening packet arrived; isNew is set unless the server has it already.
 func (o *observer) openTaken(s *server, via *node, d *datagram, isNew bool) {
 	if isNew {
@@ -147,12 +118,7 @@
 	if left, gone := o.leftAt[s.id]; gone && o.world.Now-left > drainBound {
 		o.broken(ruleDrain, "server %s took a flow %v after it left, through %s", idText(s.id), o.world.Now-left, via.control)
 	}
-	if since, emptied := o.emptied[s.zone]; emptied {
-		o.checks[ruleEvac]++
-		if o.world.Now-since > evacuateBound {
-			o.broken(ruleEvac, "server %s took a flow %v after %s was evacuated, through %s", idText(s.id), o.world.Now-since, s.zone, via.control)
-		}
-	}
+	o.evacuatedTaken(s, via)
 	o.checks[ruleConfig]++
 	if services, _ := o.allowed(d.Flow.Service, d.sent-applyBound); !slices.Contains(services, s.service) {
 		o.broken(ruleConfig, "%s took a flow for %s by an older version, through %s", s.service, d.Flow.Service, via.control)
@@ -201,14 +167,6 @@
 	return false
 }
 
-// zoneTakesFlows tells whether a zone has not been evacuated for as long as balancers may need to
-// hear of it.
-func (o *observer) zoneTakesFlows(zone string) bool {
-	_, emptied := o.emptied[zone]
-	back, was := o.takenBack[zone]
-	return !emptied && (!was || o.world.Now-back > applyBound)
-}
-
 // opened notes where a flow is open.
 func (o *observer) opened(s *server, c *clientFlow) {
 	if c.server == nil {
