--- a/internal/directory/view_bench_test.go
+++ b/internal/directory/view_bench_test.go
@@ -37,3 +37,30 @@
 		})
 	}
 }
+
+// BenchmarkEvacuate evacuates and takes back one of 30 zones, with a view after each.
+func BenchmarkEvacuate(b *testing.B) {
+	const zones = 30
+	for _, backends := range []int{300, 3000, 130000} {
+		b.Run(fmt.Sprintf("backends=%d", backends), func(b *testing.B) {
+			d := New(keep)
+			for i := range backends {
+				address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 80)
+				d.live[settings.BackendID(i+1)] = entry{Record: Record{Backend: Backend{
+					ID: settings.BackendID(i + 1), Group: fmt.Sprintf("g%d", i/100), Zone: fmt.Sprintf("z%d", i%zones), Address: address, Slots: 2,
+				}, Revision: 1}}
+				d.changed[settings.BackendID(i+1)] = true
+			}
+			view := d.View()
+			revision := uint64(2)
+			for b.Loop() {
+				d.Apply(0, evacuate("z7", revision))
+				view = d.View()
+				d.Apply(0, restore("z7", revision+1))
+				view = d.View()
+				revision += 2
+			}
+			runtime.KeepAlive(view)
+		})
+	}
+}
