--- a/internal/emulator/cold_test.go
+++ b/internal/emulator/cold_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 )
@@ -19,18 +20,20 @@
 // TestColdServersGetNoMoreThanTheirLimit, in zones of few and of many balancers.
 func TestColdServersGetNoMoreThanTheirLimit(t *testing.T) {
 	for _, name := range []string{"cold-return", "cold-return-kill", "cold-return-split", "cold-return-restart", "cold-evacuation"} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			for _, balancers := range []int{1, 3, 14} {
-				options := coldOptions(t, name, balancers)
-				limited := Run(options)
+		for _, balancers := range []int{1, 3, 14} {
+			t.Run(fmt.Sprintf("%s, %d balancers a zone", name, balancers), func(t *testing.T) {
+				t.Parallel()
+				limited := Run(coldOptions(t, name, balancers))
 				for _, violation := range limited.Violations {
-					t.Errorf("%d balancers a zone: %v", balancers, violation)
+					t.Error(violation)
 				}
 				if limited.Checks[ruleWarmUp] == 0 {
-					t.Errorf("%d balancers a zone: no flow reached a cold server", balancers)
+					t.Error("no flow reached a cold server")
 				}
-			}
+			})
+		}
+		t.Run(name+", without the limit", func(t *testing.T) {
+			t.Parallel()
 			options := coldOptions(t, name, 3)
 			options.Without = Without{WarmUpLimit: true}
 			if without := Run(options); !slices.Contains(without.Broken(), ruleWarmUp) {
@@ -43,6 +46,7 @@
 // TestAnEvenShareOfTheLimitIsTooMuch where a zone has many balancers: that is why few of them place
 // flows at a cold server.
 func TestAnEvenShareOfTheLimitIsTooMuch(t *testing.T) {
+	t.Parallel()
 	options := coldOptions(t, "cold-return", 28)
 	if limited := Run(options); len(limited.Violations) > 0 {
 		t.Errorf("with few balancers for each server: %v", limited.Violations[0])
