Views tell who has departed; one loop cuts every second balancer in the emulator

Cause: read again, the change wrote twice what stood there: steering looked a back end up by its tag as View.member does, the members of a view were made in a file on evacuations by functions with one caller, and three scenarios had one loop. Behaviour stays.

--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-
-	"gaugeyard/internal/settings"
 )
 
 // Evacuation is the newest word of the operators on one zone: whether its back ends may take
@@ -95,13 +93,3 @@
 func (d *Directory) evacuated(backend *Backend) bool {
 	return d.evacuations[backend.Zone].Active
 }
-
-// liveMember returns a live back end as views hold it.
-func (d *Directory) liveMember(id settings.BackendID, known *entry) *Member {
-	return &Member{Backend: known.Backend, Tag: TagOf(id), ColdUntil: known.coldUntil, Evacuated: d.evacuated(&known.Backend)}
-}
-
-// goneMember returns a departed back end as views hold it.
-func (d *Directory) goneMember(id settings.BackendID, left *departed) *Member {
-	return &Member{Backend: left.Backend, Tag: TagOf(id), Gone: true, GoneAt: left.at, Evacuated: d.evacuated(&left.Backend)}
-}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -102,6 +102,12 @@
 	return nil
 }
 
+// Departed tells whether the entry of a back end that the view has vanished.
+func (v *View) Departed(id settings.BackendID) bool {
+	member := v.member(id)
+	return member != nil && member.Gone
+}
+
 // Knows tells whether the view has the back end, live or gone.
 func (v *View) Knows(id settings.BackendID) bool {
 	return v.member(id) != nil
--- a/internal/emulator/scenario_cold.go
+++ b/internal/emulator/scenario_cold.go
@@ -44,16 +44,8 @@
 	})
 }
 
-// cutHalf cuts every second balancer off from the store and the others, not from clients and servers.
-func (w *world) cutHalf() {
-	w.At(troubleStart+3*time.Second, func() {
-		for i, n := range w.nodes {
-			if i%2 == 0 {
-				n.cut(6*time.Second, true)
-			}
-		}
-	})
-}
+// cutHalf cuts half of the balancers off while the servers are gone and when they are back.
+func (w *world) cutHalf() { w.cutEverySecond(troubleStart+3*time.Second, 6*time.Second) }
 
 // coldEvacuation has the entries tell that servers are cold just before the zone is taken back.
 func (w *world) coldEvacuation() {
--- a/internal/emulator/scenario_evacuate.go
+++ b/internal/emulator/scenario_evacuate.go
@@ -41,13 +41,7 @@
 }
 
 func (w *world) evacuateCut() {
-	w.At(troubleStart, func() {
-		for i, n := range w.nodes {
-			if i%2 == 0 {
-				n.cut(6*time.Second, true)
-			}
-		}
-	})
+	w.cutEverySecond(troubleStart, 6*time.Second)
 	w.At(troubleStart+2*time.Second, func() { w.store.evacuate(w.zoneAt(0), true) })
 	w.At(troubleStart+16*time.Second, func() { w.store.evacuate(w.zoneAt(0), false) })
 }
--- a/internal/emulator/scenario_store.go
+++ b/internal/emulator/scenario_store.go
@@ -54,14 +54,19 @@
 	w.At(troubleStart+time.Second, w.store.compact)
 }
 
-func (w *world) storeCut() {
-	w.At(troubleStart, func() {
+// cutEverySecond cuts every second balancer off from the store and the others, not from clients and servers.
+func (w *world) cutEverySecond(at, length time.Duration) {
+	w.At(at, func() {
 		for i, n := range w.nodes {
 			if i%2 == 0 {
-				n.cut(8*time.Second, true)
+				n.cut(length, true)
 			}
 		}
 	})
+}
+
+func (w *world) storeCut() {
+	w.cutEverySecond(troubleStart, 8*time.Second)
 	w.release()
 	w.At(troubleStart+4*time.Second, func() {
 		w.operator.probe = serviceFeed
--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"gaugeyard/internal/directory"
 	"gaugeyard/internal/flow"
 	"gaugeyard/internal/settings"
 )
@@ -74,7 +73,8 @@
 		return false
 	}
 	b.stalls = slices.DeleteFunc(b.stalls, func(h heardStall) bool { return now-h.at > stallLife })
-	if !b.freshStall(now) && !s.departed(b.id) && !slices.ContainsFunc(b.stalls, func(h heardStall) bool { return h.callers > 0 }) {
+	// One whose entry has vanished is not tried again.
+	if !b.freshStall(now) && !s.view.Departed(b.id) && !slices.ContainsFunc(b.stalls, func(h heardStall) bool { return h.callers > 0 }) {
 		return false
 	}
 	callers := len(b.stalled)
@@ -93,17 +93,6 @@
 	return true
 }
 
-// departed tells whether the entry of a back end has vanished: one that several callers asked in vain is
-// not tried again then.
-func (s *Steerer) departed(id settings.BackendID) bool {
-	for _, member := range s.view.Tagged(directory.TagOf(id)) {
-		if member.ID == id {
-			return member.Gone
-		}
-	}
-	return false
-}
-
 // lostCallers returns how many callers must have sent data again in vain before one of the back
 // ends counts as lost.
 func (p *poolState) lostCallers() int {
