Bound: a fleet that starts in an outage of the store knows nothing until it answers

Change: after a moment in an outage at which no balancer runs, those that start serve from the end of the outage on at the earliest. Outages for some machines only count as none.

--- a/bench/bound/bound_test.go
+++ b/bench/bound/bound_test.go
@@ -223,3 +223,33 @@
 		t.Fatal(err)
 	}
 }
+
+// TestNobodyKnowsSettingsWhenAllStartInAnOutage: all are down from 2.0 to 3.0 s, and the store answers from
+// 3.5 s on, or answers some all the time, or was away before; where a balancer goes on running, it tells the others.
+func TestNobodyKnowsSettingsWhenAllStartInAnOutage(t *testing.T) {
+	closing := Event{At: 2, To: 8, Kind: "closing (kill_all)", What: "front-a-1 and 3 more"}
+	bestOf := func(out map[string]string, events ...Event) float64 {
+		return mustBound(t, testReport(append(events, closing), out)).day().bound
+	}
+	down := quietMachines()
+	for machine := range down {
+		down[machine] = "2.000 to 7.000"
+	}
+	alone := bestOf(down)
+	if got := bestOf(down, Event{At: 1, To: 3.5, Kind: "platform_down (busy lapse)"}); got >= alone {
+		t.Errorf("bound %v with an outage until 3.5 s, %v without", got, alone)
+	}
+	for _, event := range []Event{
+		{At: 1, To: 3.5, Kind: "platform_down (nodes silent)"},
+		{At: 0, To: 1.5, Kind: "platform_down (silent)"},
+		{At: 1, To: 2.9, Kind: "platform_down (silent)"},
+	} {
+		if got := bestOf(down, event); got != alone {
+			t.Errorf("bound %v with %+v, %v without", got, event, alone)
+		}
+	}
+	down["front-b-2"] = ""
+	if without, with := bestOf(down), bestOf(down, Event{At: 1, To: 3.5, Kind: "platform_down (silent)"}); with != without {
+		t.Errorf("bound %v though one balancer runs on, %v without the outage", with, without)
+	}
+}
--- a/bench/bound/main.go
+++ b/bench/bound/main.go
@@ -13,6 +13,8 @@
 //     again at fixed times; until the flow's packets can reach a running balancer, nothing
 //     can answer it. A balancer runs again when its machine does, without any time for its
 //     own start, and routers leave a dead one out as early as their probes allow.
+//   - While the store answers nobody, balancers learn from others that run. After a moment at which
+//     none runs nobody knows the settings until the store answers again.
 //   - Machines in use are paid for, and so is a connection for each request that uses a flow
 //     of its own.
 //
--- a/bench/bound/outage.go
+++ b/bench/bound/outage.go
@@ -96,9 +96,40 @@
 	for _, machines := range f.machines {
 		slices.Sort(machines)
 	}
+	for _, silent := range storeOutages(report) {
+		f.learnAfter(silent)
+	}
 	return f, nil
 }
 
+// storeOutages returns when the store answered nobody.
+func storeOutages(report *Report) []span {
+	var list []span
+	for _, event := range report.Events {
+		if strings.HasPrefix(event.Kind, "platform_down") && !strings.Contains(event.Kind, "nodes") {
+			list = append(list, span{seconds(event.At), seconds(event.To)})
+		}
+	}
+	return list
+}
+
+// learnAfter keeps balancers from running before the end of an outage of the store in which nobody ran
+// for a moment: whoever starts after that moment knows no settings, and nobody else does.
+func (f *fleet) learnAfter(silent span) {
+	for _, d := range f.downs {
+		moment := max(d.from, silent.from)
+		if !silent.has(moment) || f.firstBack(moment) == moment {
+			continue
+		}
+		for i := range f.downs {
+			if f.downs[i].to > moment && f.downs[i].to < silent.to {
+				f.downs[i].to = silent.to
+			}
+		}
+		return
+	}
+}
+
 // add adds a machine, once.
 func (f *fleet) add(machine string) {
 	zone := zoneOf(machine)
