--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -68,6 +68,9 @@
 	ServerCrashed  Kind = "server-crashed"
 	// ZoneEvacuated lets a zone take no new flow for evacuatedFor.
 	ZoneEvacuated Kind = "zone-evacuated"
+	// EntriesLapsed is the store down to all for so long that the entries of servers lapse; they are back
+	// one by one after its return.
+	EntriesLapsed Kind = "entries-lapsed"
 	// RouteAdded, RouteDropped, RoutesStorm and RoutesMany are edits of the operators.
 	RouteAdded   Kind = "route-added"
 	RouteDropped Kind = "route-dropped"
@@ -80,12 +83,13 @@
 	Stop, Kill, KillAll, Pause, Reload, Cut, CutInward, CutOutward, Lossy, Delayed, PeersCut, PeersDelayed, PeersReset,
 	StoreSilent, StoreBusy, StoreThrottling, StoreResetting, StoreSlow, StoreLosing, StoreDown, StoreCompacted,
 	ServerReplaced, ServerQuiet, ServerCrashed, RouteAdded, RouteDropped, RoutesStorm, RoutesMany, ConnectionsSilent, ZoneEvacuated,
+	EntriesLapsed,
 }
 
 // drawnKinds are those of which a phase has some by chance. Connections that fall silent and zones that are
-// evacuated come once in each phase and are drawn apart, so that the schedules of earlier seeds stay what
-// they were.
-var drawnKinds = Kinds[:len(Kinds)-2]
+// evacuated come once in each phase, entries that lapse in every second one; they are drawn apart, so that
+// the rest of the schedules of earlier seeds stays what it was.
+var drawnKinds = Kinds[:len(Kinds)-3]
 
 // Event is one trouble of a schedule.
 type Event struct {
@@ -113,17 +117,20 @@
 	mostFor  = 5 * time.Second
 	// silentStream names the random numbers by which ConnectionsSilent is drawn.
 	silentStream = 1 << 32
-	// zoneStream names those by which ZoneEvacuated is drawn.
-	zoneStream = 1 << 33
+	// zoneStream names those by which ZoneEvacuated is drawn, lapseStream those of EntriesLapsed.
+	zoneStream  = 1 << 33
+	lapseStream = 1 << 34
+	// lapsedFor is how long the store is down where entries lapse: longer than they live without a word.
+	lapsedFor = 4500 * time.Millisecond
 )
 
 // Draw returns the schedule of a seed: phases of trouble with quiet between them. Equal
 // arguments give equal schedules.
 func Draw(seed uint64, length time.Duration, balancers int) []Event {
 	drawn, apart := rand.New(rand.NewPCG(seed, uint64(balancers))), rand.New(rand.NewPCG(seed, silentStream))
-	zones := rand.New(rand.NewPCG(seed, zoneStream))
+	zones, lapses := rand.New(rand.NewPCG(seed, zoneStream)), rand.New(rand.NewPCG(seed, lapseStream))
 	var events []Event
-	for phase := calmStart; phase < length-calmEnd; phase += phaseTime + quietTime {
+	for phase, lapse := calmStart, false; phase < length-calmEnd; phase, lapse = phase+phaseTime+quietTime, !lapse {
 		end := min(phase+phaseTime, length-calmEnd)
 		for at := phase; at < end; at += time.Duration(drawn.Int64N(int64(2 * meanGap))) {
 			events = append(events, Event{
@@ -137,6 +144,10 @@
 			at = phase + (end-phase)/2 + time.Duration(zones.Int64N(int64((end-phase)/2)))
 			events = append(events, Event{At: at.Round(time.Millisecond), Kind: ZoneEvacuated, For: leastFor})
 		}
+		if lapse && end > phase {
+			at := phase + time.Duration(lapses.Int64N(int64(end-phase)))
+			events = append(events, Event{At: at.Round(time.Millisecond), Kind: EntriesLapsed, For: lapsedFor})
+		}
 		// Edits and servers that leave in the quiet show whether they are in force in time.
 		for _, kind := range []Kind{RouteAdded, RouteDropped, ServerReplaced, ServerQuiet} {
 			at := end + time.Duration(drawn.Int64N(int64(quietTime/4)))
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -36,6 +36,8 @@
 		r.silenceConnections()
 	case StoreDown:
 		r.world.StopStore(event.For)
+	case EntriesLapsed:
+		r.world.LapseEntries(r.drawn, event.For)
 	case StoreCompacted:
 		r.world.CompactStore()
 	case ServerReplaced, ServerQuiet:
--- a/internal/standin/tagged/server.go
+++ b/internal/standin/tagged/server.go
@@ -27,7 +27,9 @@
 
 	mutex    sync.Mutex
 	draining bool
-	flows    map[netip.AddrPort]*serverFlow
+	// announced is the state in its entry, empty while it keeps none.
+	announced string
+	flows     map[netip.AddrPort]*serverFlow
 }
 
 type serverFlow struct {
@@ -83,6 +85,9 @@
 func (s *server) key() string { return fmt.Sprintf("servers/i-%010x", s.id) }
 
 func (s *server) announce(state string) {
+	s.mutex.Lock()
+	s.announced = state
+	s.mutex.Unlock()
 	service := s.service
 	if s.sabotage == WrongService && service == ingestService {
 		service = feedService
@@ -90,6 +95,21 @@
 	s.store.Put(s.key(), entry{Service: service, Address: s.address.String(), Zone: s.zone, Version: "v1", Capacity: 2, State: state})
 }
 
+// withdraw drops the entry.
+func (s *server) withdraw() {
+	s.mutex.Lock()
+	s.announced = ""
+	s.mutex.Unlock()
+	s.store.Remove(s.key())
+}
+
+// state is what the server's entry says, empty for none.
+func (s *server) state() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.announced
+}
+
 // drain announces that the server leaves; it keeps its flows.
 func (s *server) drain() {
 	s.mutex.Lock()
@@ -104,7 +124,7 @@
 // leave drops the entry; the server serves on.
 func (s *server) leave() {
 	if s.sabotage != HiddenDrain {
-		s.store.Remove(s.key())
+		s.withdraw()
 	}
 	s.judge.drained(s)
 }
@@ -112,7 +132,7 @@
 // end ends the server after it has left.
 func (s *server) end() {
 	s.judge.crashed(s)
-	s.store.Remove(s.key())
+	s.withdraw()
 	s.socket.Close()
 }
 
@@ -120,6 +140,9 @@
 func (s *server) crash() {
 	s.judge.crashed(s)
 	s.judge.drained(s)
+	s.mutex.Lock()
+	s.announced = ""
+	s.mutex.Unlock()
 	s.socket.Close()
 }
 
--- a/internal/standin/tagged/store.go
+++ b/internal/standin/tagged/store.go
@@ -11,8 +11,7 @@
 	"time"
 )
 
-// Store is the platform's store over HTTP: listing, watches and lost history. It is
-// written to by the stand-ins themselves only.
+// Store is the platform's store over HTTP: listing, watches, transactions and lost history.
 type Store struct {
 	mutex    sync.Mutex
 	revision uint64
@@ -120,6 +119,8 @@
 		s.serveRange(w, r)
 	case "/kv-watch":
 		s.serveWatch(w, r)
+	case "/kv-txn":
+		s.serveTransaction(w, r)
 	default:
 		http.NotFound(w, r)
 	}
