Steering: each concern of placing is a filter or a scorer

Cause: a candidate's twelve fields were filled by six passes that choose named one by one, so that a limit, a part or a speed would have been one more field and one more pass each.

A new concern is one more line in tiers or scorers. No decision is changed.

--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"gaugeyard/internal/directory"
-	"gaugeyard/internal/placement"
 	"gaugeyard/internal/settings"
 )
 
@@ -13,10 +12,6 @@
 	// loadSlack is how much load above the bound is no reason to leave the zone,
 	// in requests a slot: single requests do not count.
 	loadSlack = 1.5
-	// together is within what time entries vanish at once, and lapseTogether how many
-	// times the usual grace they then have: still within the drain bound.
-	together      = time.Second
-	lapseTogether = 5.0 / 3
 	// forgetCount is the decayed number of requests below which a group is forgotten.
 	forgetCount = 0.01
 	// groupDecay is what of a group's count is left after a second.
@@ -62,10 +57,13 @@
 	return best, bestState
 }
 
-// candidate is a back end that may take a new flow.
+// candidate is a back end that may take a new flow, with what the scorers found of it.
 type candidate struct {
 	member *directory.Member
 	state  *backendState
+	local  bool
+	// score is by the flow's hash, and decides between equals.
+	score float64
 	// load is the work at the back end relative to its slots, and soon what it will be, counting
 	// flows of the last moments.
 	load, soon float64
@@ -77,9 +75,7 @@
 	// pace is how many times longer than usual a request takes there, 1 at the least.
 	pace float64
 	// time is how long a request is expected to take there, in usual times.
-	time  float64
-	score float64
-	local bool
+	time float64
 	// trial is set where a flow finds out whether the back end is still slow.
 	trial bool
 }
@@ -97,24 +93,19 @@
 // allows above the mean of all zones. Where back ends are equal the flow's hash
 // decides, so that balancers that know nothing yet agree and do not crowd one.
 func (s *Steerer) choose(now time.Duration, hash uint64, group *settings.Group, service *settings.Service, avoid *backendState) choice {
-	pool, limit := s.view.Pool(group.Discover), s.warmUpOf(group)
-	s.candidates = s.candidates[:0]
-	for _, member := range pool.Open {
-		state := s.stateOf(member)
-		if s.withholds(now, limit, member, state) {
-			continue
-		}
-		if s.config.Mechanisms.NoSuspicion || state != avoid && !state.suspected(now) && !s.doubts(now, state) {
-			s.addCandidate(now, hash, member, state)
+	s.placing = placing{now: now, hash: hash, pool: s.view.Pool(group.Discover), limit: s.warmUpOf(group), avoid: avoid}
+	for tier := range tiers {
+		if s.gather(tier) {
+			break
 		}
 	}
-	if len(s.candidates) == 0 {
-		s.addLastResorts(now, hash, pool, limit)
-	}
-	s.weighFailures()
-	usual := s.usualAnswer()
-	s.weighSlowness(now, usual)
-	s.expectTimes(usual)
+	s.score()
+	return s.pick(group, service)
+}
+
+// pick returns the best of the candidates, which were scored.
+func (s *Steerer) pick(group *settings.Group, service *settings.Service) choice {
+	usual := s.placing.usual
 	known := s.poolOf(group.Discover)
 	known.usual = usual
 	turn := known.turn
@@ -132,25 +123,6 @@
 	return choice{member: local.member, load: local.load, trial: local.trial}
 }
 
-// doubts tells whether new flows avoid a back end for its silence. Silence counts from
-// when this process could have heard an answer.
-func (s *Steerer) doubts(now time.Duration, state *backendState) bool {
-	if s.lagging(now) {
-		s.lagged = max(s.lagged, now-lagTime)
-	}
-	if state.askedAt != 0 {
-		state.askedAt = max(state.askedAt, s.lagged+lagTime)
-	}
-	until := state.doubtUntil
-	doubted := state.doubted(now)
-	if state.doubtUntil > until && !state.pool.lossy() {
-		// Each balancer of a zone would else send the back end a flow of its own before it hears of
-		// this in the next round.
-		s.raise(now)
-	}
-	return doubted
-}
-
 // leavesZone tells whether a new flow is better off in another zone: the own one has
 // more than its share, or a request would wait there and not elsewhere.
 func (s *Steerer) leavesZone(local, remote *candidate, service *settings.Service) bool {
@@ -174,72 +146,6 @@
 	return sum / float64(len(candidates))
 }
 
-// addLastResorts adds back ends that are suspected, or else those whose entries
-// vanished moments ago, perhaps by mistake.
-func (s *Steerer) addLastResorts(now time.Duration, hash uint64, pool *directory.Pool, limit warmUp) {
-	for _, member := range pool.Open {
-		if state := s.stateOf(member); !s.withholds(now, limit, member, state) {
-			s.addCandidate(now, hash, member, state)
-		}
-	}
-	if len(s.candidates) > 0 {
-		return
-	}
-	for _, member := range pool.Left {
-		state := s.stateOf(member)
-		if now-member.GoneAt <= s.lapseGrace(pool) && !s.withholds(now, limit, member, state) {
-			s.addCandidate(now, hash, member, state)
-		}
-	}
-}
-
-// lapseGrace is how long a vanished entry is still used. When all of a group vanish
-// at once, the store has most likely lost them in an outage.
-func (s *Steerer) lapseGrace(pool *directory.Pool) time.Duration {
-	if len(pool.Left) < 2 {
-		return s.config.LapseGrace
-	}
-	first, last := pool.Left[0].GoneAt, pool.Left[0].GoneAt
-	for _, member := range pool.Left {
-		first, last = min(first, member.GoneAt), max(last, member.GoneAt)
-	}
-	if last-first > together {
-		return s.config.LapseGrace
-	}
-	return time.Duration(float64(s.config.LapseGrace) * lapseTogether)
-}
-
-func (s *Steerer) addCandidate(now time.Duration, hash uint64, member *directory.Member, state *backendState) {
-	load := float64(state.active+1) + state.work() + state.others.Requests
-	soon := load + s.rush(now, state, member.Zone == s.config.Zone)
-	even := load
-	if s.own.Count >= manyBalancers {
-		even = state.steadyRate()
-	}
-	failures := state.failures + state.others.Failures
-	pace := 1.0
-	if now < member.ColdUntil {
-		pace = state.pool.coldPace
-	}
-	if s.config.Mechanisms.NoLoad {
-		load, soon, even, failures = 0, 0, 0, 0
-	}
-	if s.config.Mechanisms.NoPace || s.config.Mechanisms.NoLoad {
-		pace = 1
-	}
-	s.candidates = append(s.candidates, candidate{
-		member:   member,
-		state:    state,
-		load:     load / float64(max(member.Slots, 1)),
-		soon:     soon / float64(max(member.Slots, 1)),
-		even:     even / float64(max(member.Slots, 1)),
-		failures: failures,
-		pace:     pace,
-		score:    placement.Score(hash, member.ID, 1),
-		local:    member.Zone == s.config.Zone,
-	})
-}
-
 // best returns the least loaded candidate in or outside the own zone, nil for none. In a
 // large zone it compares those alone whose turn it is, unless all of them are full or out of rotation.
 func (s *Steerer) best(usual float64, local bool, turn int) *candidate {
--- /dev/null
+++ b/internal/steering/placing.go
@@ -0,0 +1,90 @@
+package steering
+
+import (
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/placement"
+)
+
+// placing is the decision on one new flow: what its filters and scorers read.
+type placing struct {
+	now  time.Duration
+	hash uint64
+	pool *directory.Pool
+	// limit is how new flows go to back ends of the group while these warm up.
+	limit warmUp
+	// avoid is the back end that a copy of an opening packet leaves, nil for none.
+	avoid *backendState
+	// usual is the usual time of an answer among the candidates, in seconds, 0 while unknown.
+	usual float64
+}
+
+// filter is one concern that keeps new flows away from a back end: true leaves it out.
+type filter func(s *Steerer, p *placing, member *directory.Member, state *backendState) bool
+
+// scorer is one concern that weighs the candidates against each other. Scorers run in order, and
+// a later one may read what an earlier one found.
+type scorer func(s *Steerer, p *placing)
+
+// tier is a list of back ends and the concerns that thin it out. A flow goes to a back end of the
+// first tier that has any.
+type tier struct {
+	from    func(pool *directory.Pool) []*directory.Member
+	filters []filter
+}
+
+// usualTier are the back ends that new flows go to; the others are last resorts.
+const usualTier = 0
+
+// tiers are in order of preference: back ends that are well; those that are silent, where no other is
+// left; those whose entries vanished moments ago, perhaps by mistake.
+var tiers = []tier{
+	{openMembers, []filter{filterCold, filterLeft, filterSilent}},
+	{openMembers, []filter{filterCold}},
+	{leftMembers, []filter{filterLapsed, filterCold}},
+}
+
+// scorers fill the candidates: first the work at each, then what makes the same work more.
+var scorers = []scorer{scoreLoad, scoreWarmUp, scoreFailures, scoreUsual, scoreSlowness, scoreTime}
+
+func openMembers(pool *directory.Pool) []*directory.Member { return pool.Open }
+
+func leftMembers(pool *directory.Pool) []*directory.Member { return pool.Left }
+
+// gather makes those back ends candidates that a tier leaves, and tells whether there are any.
+func (s *Steerer) gather(tier int) bool {
+	s.candidates = s.candidates[:0]
+	p := &s.placing
+	from := &tiers[tier]
+	for _, member := range from.from(p.pool) {
+		state := s.stateOf(member)
+		if s.filtered(from.filters, member, state) {
+			continue
+		}
+		s.candidates = append(s.candidates, candidate{
+			member: member,
+			state:  state,
+			pace:   1,
+			score:  placement.Score(p.hash, member.ID, 1),
+			local:  member.Zone == s.config.Zone,
+		})
+	}
+	return len(s.candidates) > 0
+}
+
+func (s *Steerer) filtered(filters []filter, member *directory.Member, state *backendState) bool {
+	for _, leavesOut := range filters {
+		if leavesOut(s, &s.placing, member, state) {
+			return true
+		}
+	}
+	return false
+}
+
+// score lets each concern weigh the candidates.
+func (s *Steerer) score() {
+	for _, weigh := range scorers {
+		weigh(s, &s.placing)
+	}
+}
--- /dev/null
+++ b/internal/steering/scorers.go
@@ -0,0 +1,45 @@
+package steering
+
+// scoreLoad fills in the work at each candidate relative to its slots, and its failures.
+func scoreLoad(s *Steerer, p *placing) {
+	if s.config.Mechanisms.NoLoad {
+		return
+	}
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		slots := float64(max(c.member.Slots, 1))
+		load := float64(c.state.active+1) + c.state.work() + c.state.others.Requests
+		even := load
+		if s.own.Count >= manyBalancers {
+			even = c.state.steadyRate()
+		}
+		c.load = load / slots
+		c.soon = (load + s.rush(p.now, c.state, c.local)) / slots
+		c.even = even / slots
+		c.failures = c.state.failures + c.state.others.Failures
+	}
+}
+
+// scoreWarmUp lets work at back ends that warm up count more.
+func scoreWarmUp(s *Steerer, p *placing) {
+	if s.config.Mechanisms.NoPace || s.config.Mechanisms.NoLoad {
+		return
+	}
+	for i := range s.candidates {
+		if c := &s.candidates[i]; p.now < c.member.ColdUntil {
+			c.pace = c.state.pool.coldPace
+		}
+	}
+}
+
+// scoreFailures makes the load of back ends out of rotation the larger.
+func scoreFailures(s *Steerer, _ *placing) { s.weighFailures() }
+
+// scoreUsual finds out the usual time of an answer among the candidates.
+func scoreUsual(s *Steerer, p *placing) { p.usual = s.usualAnswer() }
+
+// scoreSlowness lets work at back ends that answer slowly count more.
+func scoreSlowness(s *Steerer, p *placing) { s.weighSlowness(p.now, p.usual) }
+
+// scoreTime works out how long a request is expected to take.
+func scoreTime(s *Steerer, p *placing) { s.expectTimes(p.usual) }
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -42,7 +42,8 @@
 	// the back ends of each name together.
 	own   Place
 	pools map[string]*poolState
-	// candidates is the memory of placement, reused.
+	// placing and candidates are the memory of placement, reused.
+	placing    placing
 	candidates []candidate
 	means      []float64
 	// events are observations that the driver has not taken yet.
