Able balancers come first by rank: they ask the store and are followed

Cause: two thirds of the machines have 0.045 of a core and 10 Mbit/s, and a hash of the address alone decided who asks the store, whom others follow and who answers those that start.

Ranks go by class, then by hash: Upstream, HasLower, Place, turns, HurryRound, ForAsker and the choice of a teacher follow. Tables and warm-up placers keep to the hash. RankOf of an address is HashOf in tests now.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -9,6 +9,7 @@
 
 	"gopkg.in/yaml.v3"
 
+	"gaugeyard/internal/peers"
 	"gaugeyard/internal/settings"
 )
 
@@ -36,6 +37,8 @@
 	Workers int `yaml:"workers"`
 	// LinkMbps is the bandwidth of the machine's link in Mbit/s, 0 for unknown.
 	LinkMbps float64 `yaml:"link_mbps"`
+	// CPUShare is the part of each core that the machine has for the process, 0 for unknown.
+	CPUShare float64 `yaml:"cpu_share"`
 	// ReadyPath is where readiness is asked for.
 	ReadyPath string `yaml:"ready_path"`
 	Bounds    Bounds `yaml:"bounds"`
@@ -145,6 +148,16 @@
 	return c.Control
 }
 
+// capacity is the class of the machine for tasks of the fleet.
+func (c *Config) capacity() peers.Capacity {
+	return peers.CapacityOf(c.CPUShare*float64(c.Workers), c.LinkMbps)
+}
+
+// introduction is what other balancers are told of this one.
+func (c *Config) introduction() peers.Introduction {
+	return peers.Introduction{Control: c.advertised(), Zone: c.Zone, Capacity: c.capacity()}
+}
+
 // faults returns what is wrong beyond the form.
 func (c *Config) faults() []error {
 	var faults []error
@@ -163,6 +176,9 @@
 	if c.LinkMbps < 0 || math.IsNaN(c.LinkMbps) {
 		fault("link_mbps", "%v is below 0", c.LinkMbps)
 	}
+	if !(c.CPUShare >= 0 && c.CPUShare <= 1) {
+		fault("cpu_share", "%v is not within 0 to 1", c.CPUShare)
+	}
 	if c.ReadyPath == "" || c.ReadyPath[0] != '/' {
 		fault("ready_path", "%q does not begin with /", c.ReadyPath)
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -68,9 +68,9 @@
 }
 
 func TestConfigNamesEveryFault(t *testing.T) {
-	_, faults := ParseConfig([]byte("zone: \"\"\ndata: here\nseeds: [there]\nadvertise: nowhere\nworkers: 1000\nready_path: x\nlink_mbps: -1\nbounds: {grace: 99h, warm_up_overshoot: -1, warm_up_slack: .nan}\n"))
+	_, faults := ParseConfig([]byte("zone: \"\"\ndata: here\nseeds: [there]\nadvertise: nowhere\nworkers: 1000\nready_path: x\nlink_mbps: -1\ncpu_share: .nan\nbounds: {grace: 99h, warm_up_overshoot: -1, warm_up_slack: .nan}\n"))
 	text := errors.Join(faults...).Error()
-	for _, field := range []string{"zone:", "data:", "ready:", "control:", "store:", "seeds[0]:", "advertise:", "peer_port:", "workers:", "ready_path:", "link_mbps:", "bounds.grace:", "bounds.warm_up_overshoot:", "bounds.warm_up_slack:"} {
+	for _, field := range []string{"zone:", "data:", "ready:", "control:", "store:", "seeds[0]:", "advertise:", "peer_port:", "workers:", "ready_path:", "link_mbps:", "cpu_share:", "bounds.grace:", "bounds.warm_up_overshoot:", "bounds.warm_up_slack:"} {
 		if !strings.Contains(text, "settings file: "+field) {
 			t.Errorf("no fault names %s in\n%s", field, text)
 		}
@@ -126,7 +126,7 @@
 func (s *fakeSource) Reconnect() {}
 
 // newTestNode is a node on loopback that serves nothing.
-func newTestNode(t *testing.T, source Source) *Node {
+func newTestNode(t testing.TB, source Source) *Node {
 	t.Helper()
 	config := Config{
 		Node: "test", Zone: "a", Workers: 1, ReadyPath: "/ready", Bounds: defaultBounds,
@@ -149,7 +149,7 @@
 func (noCodec) Forward(b []byte, _ *directory.Member) []byte  { return b }
 func (noCodec) Refusal(b []byte, _ flow.Key, _ uint32) []byte { return b[:1] }
 
-func listing(t *testing.T, revision uint64) *directory.Listing {
+func listing(t testing.TB, revision uint64) *directory.Listing {
 	t.Helper()
 	tree := settings.Tree{"": settings.Values{}}
 	if err := tree.Set("fonts", settings.KeyAddress, "192.0.2.1:80"); err != nil {
@@ -260,7 +260,7 @@
 // TestALargeListingIsLeftWhenAnotherBalancerTellsFirst, and goes on when none does.
 func TestALargeListingIsLeftWhenAnotherBalancerTellsFirst(t *testing.T) {
 	lower := netip.MustParseAddrPort("127.0.0.1:2")
-	for number := uint16(2); peers.RankOf(lower) >= peers.RankOf(netip.MustParseAddrPort("127.0.0.1:1")); number++ {
+	for number := uint16(2); peers.HashOf(lower) >= peers.HashOf(netip.MustParseAddrPort("127.0.0.1:1")); number++ {
 		lower = netip.AddrPortFrom(lower.Addr(), number)
 	}
 	for _, tells := range []bool{true, false} {
--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -115,6 +116,7 @@
 		Failing:  n.failing.Load(),
 		Revision: n.directory.Revision(),
 		StoreAge: n.beliefAge(),
+		Capacity: n.config().capacity(),
 	}
 }
 
@@ -212,7 +214,7 @@
 	n.steering.Unlock()
 	n.heardStalls(now, hello)
 	if isNew {
-		n.log.Info("peer found", "peer", hello.Control, "zone", hello.Zone, "revision", hello.Revision, "age_ms", hello.StoreAge.Milliseconds())
+		n.log.Info("peer found", "peer", hello.Control, "zone", hello.Zone, "capacity", hello.Capacity, "revision", hello.Revision, "age_ms", hello.StoreAge.Milliseconds())
 	}
 	if reply != nil {
 		n.sendHello(reply, hello.Control)
@@ -222,7 +224,7 @@
 	}
 }
 
-// teacherOf returns who, by a hello, can tell everything: the sender, or one of those that
+// teacherOf returns who, by a hello, can tell everything: the sender, or one of the ablest that
 // it names, drawn by chance since many are told the same names.
 func teacherOf(hello *peers.Hello) (control netip.AddrPort, found bool) {
 	if hello.Revision > 0 {
@@ -232,5 +234,7 @@
 	if len(knowing) == 0 {
 		return netip.AddrPort{}, false
 	}
+	ablest := slices.MaxFunc(knowing, func(a, b peers.Introduction) int { return cmp.Compare(a.Capacity, b.Capacity) }).Capacity
+	knowing = slices.DeleteFunc(knowing, func(other peers.Introduction) bool { return other.Capacity < ablest })
 	return knowing[rand.N(len(knowing))].Control, true
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -135,7 +135,7 @@
 		data:       data,
 		peer:       peer,
 		peerClient: NewHTTPClient(),
-		peers:      peers.New(peers.Introduction{Control: config.advertised(), Zone: config.Zone}),
+		peers:      peers.New(config.introduction()),
 		started:    time.Now(),
 		directory:  directory.New(departedTime(&config)),
 		steerer:    steering.New(steeringConfig(&config)),
@@ -188,7 +188,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	n.log.Info("started", "zone", n.config().Zone, "data", n.config().Data, "store", n.config().Store, "first_start", n.config().FirstStart)
+	n.log.Info("started", "zone", n.config().Zone, "data", n.config().Data, "store", n.config().Store, "first_start", n.config().FirstStart, "capacity", n.config().capacity())
 	for range n.config().Workers {
 		group.Go(func() error { return n.receive(ctx) })
 	}
--- /dev/null
+++ b/internal/edge/telling_bench_test.go
@@ -0,0 +1,26 @@
+package edge
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+)
+
+// BenchmarkTellAFollower is what one answer to a follower costs, the asker's own work included, once it
+// is encoded: by what it costs maxFollowers of them, machines are classed.
+func BenchmarkTellAFollower(b *testing.B) {
+	node := newTestNode(b, &fakeSource{listing: listing(b, 5)})
+	node.replace(listing(b, 5), "store", 0)
+	server := httptest.NewServer(node.controlHandler())
+	defer server.Close()
+	asker := peerSource{node, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := asker.changes(context.Background(), question{after: 1, base: 1}, time.Minute, time.Second); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/emulator/listing.go
+++ b/internal/emulator/listing.go
@@ -79,6 +79,7 @@
 // list answers a page of a listing, or not at all.
 func (s *store) list(n *node, over *connection, after settings.BackendID, reply func(*page, error)) {
 	s.calls++
+	n.countCall()
 	s.world.After(clientDelay, func() {
 		if !s.reachable(n) || over.silent() {
 			return
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -47,6 +47,10 @@
 	world   *world
 	zone    string
 	control netip.AddrPort
+	// capacity is the machine's, for tasks of the fleet; calls counts those to the store since traffic
+	// began.
+	capacity peers.Capacity
+	calls    int
 
 	// run numbers the processes; 0 is none.
 	run     int
@@ -85,6 +89,13 @@
 	held   []*datagram
 }
 
+// countCall counts a call to the store. At the first start all list at once, whatever their machines.
+func (n *node) countCall() {
+	if n.world.Now >= trafficStart {
+		n.calls++
+	}
+}
+
 // start begins a process that knows nothing.
 func (n *node) start() {
 	w := n.world
@@ -117,7 +128,7 @@
 			EvenWarmUp:    w.options.Without.WarmUpPlacers,
 		},
 	})
-	n.peers = peers.New(peers.Introduction{Control: n.control, Zone: n.zone})
+	n.peers = peers.New(n.introduction())
 	n.follower = follow.New(contactBound, 0)
 	n.whileRunning(startTime, func() {
 		if !w.options.Without.Peers {
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -95,11 +95,16 @@
 	}
 }
 
+// introduction is what other balancers are told of this one.
+func (n *node) introduction() peers.Introduction {
+	return peers.Introduction{Control: n.control, Zone: n.zone, Capacity: n.capacity}
+}
+
 // hello is what this balancer says of itself, without others and loads.
 func (n *node) hello() *peers.Hello {
 	return &peers.Hello{
 		Control: n.control, Zone: n.zone, Started: int64(n.startedAt) + 1, Leaving: n.leaving, Failing: n.failing,
-		Revision: n.directory.Revision(), StoreAge: n.confirmed.Age(n.now()),
+		Revision: n.directory.Revision(), StoreAge: n.confirmed.Age(n.now()), Capacity: n.capacity,
 	}
 }
 
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -50,6 +50,11 @@
 
 // Run carries out one run.
 func Run(options Options) Result {
+	return ran(options).result()
+}
+
+// ran carries out one run and returns the world at its end.
+func ran(options Options) *world {
 	w := newWorld(options)
 	w.build()
 	w.Every(probeInterval, func() {
@@ -65,7 +70,7 @@
 	options.Scenario.events(w)
 	w.RunUntil(options.Scenario.length())
 	w.truth.finish()
-	return w.result()
+	return w
 }
 
 func (w *world) result() Result {
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -47,6 +47,7 @@
 	{"balancer-kill", "a balancer of each zone is killed", (*world).killSome},
 	{"balancer-freeze", "a balancer of each zone stands still for three seconds", (*world).freezeSome},
 	{"kill-all", "every balancer is killed at once", (*world).killAll},
+	{"able-lost", "the able machines are killed for long and come back cut off from the store, while servers leave", (*world).loseAble},
 	{"store-silent", "the store says nothing for six seconds while servers leave", duringFault(storeSilent)},
 	{"store-silent-late", "the store is silent late in the run, and a version follows", (*world).silentLate},
 	{"store-busy", "the store is not available for six seconds while servers leave", duringFault(storeBusy)},
--- a/internal/emulator/scenario_store.go
+++ b/internal/emulator/scenario_store.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -82,7 +81,7 @@
 func (w *world) ranked() []*node {
 	ranked := slices.Clone(w.nodes)
 	slices.SortFunc(ranked, func(a, b *node) int {
-		return cmp.Compare(peers.RankOf(a.control), peers.RankOf(b.control))
+		return peers.RankOf(a.introduction()).Compare(peers.RankOf(b.introduction()))
 	})
 	return ranked
 }
@@ -124,6 +123,16 @@
 	w.release()
 }
 
+// loseAble takes those away that come first by rank, one in each zone where machines are alike.
+func (w *world) loseAble() {
+	const downTime, cutTime = 6 * time.Second, 10 * time.Second
+	for _, n := range w.ranked()[:len(w.zones)] {
+		w.At(troubleStart, func() { n.kill(downTime) })
+		w.At(troubleStart+downTime+time.Second, func() { n.cut(cutTime, false) })
+	}
+	w.release()
+}
+
 // cut partitions a machine from the store, and from other balancers too.
 func (n *node) cut(length time.Duration, peersToo bool) {
 	n.disturb()
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -243,6 +243,7 @@
 // the wait is over.
 func (s *store) watch(n *node, over *connection, after uint64, wait time.Duration, reply func(*directory.Changes, error)) {
 	s.calls++
+	n.countCall()
 	s.world.After(clientDelay, func() {
 		if !s.reachable(n) || over.silent() {
 			return
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gaugeyard/internal/flow"
+	"gaugeyard/internal/peers"
 	"gaugeyard/internal/settings"
 	"gaugeyard/internal/virtual"
 )
@@ -29,6 +30,8 @@
 	Traced netip.AddrPort
 	// BalancersPerZone and Zones size the fleet; 0 stands for 3.
 	BalancersPerZone, Zones int
+	// AblePerZone of these have an able machine, the last ones; the others have the least.
+	AblePerZone int
 	// Servers and Traffic multiply the servers and the load of each zone; 0 stands for 1.
 	Servers, Traffic float64
 	// Leave is the part of its requests after which a stream's client ends the flow and asks
@@ -192,12 +195,26 @@
 
 func (w *world) addNode(zone string, ip netip.Addr) *node {
 	n := &node{world: w, zone: zone, control: netip.AddrPortFrom(ip, controlPort)}
+	if w.able(zone) {
+		n.capacity = peers.Able
+	}
 	w.nodes = append(w.nodes, n)
 	w.routers[zone].add(n)
 	n.start()
 	return n
 }
 
+// able tells whether the next machine of a zone is an able one.
+func (w *world) able(zone string) bool {
+	number := 0
+	for _, n := range w.nodes {
+		if n.zone == zone {
+			number++
+		}
+	}
+	return number < w.options.BalancersPerZone && number >= w.options.BalancersPerZone-w.options.AblePerZone
+}
+
 // delay is one way between two zones; an empty one is a client's.
 func (w *world) delay(from, to string) time.Duration {
 	base := crossDelay
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -44,6 +44,8 @@
 	// Full is set when the hello has loads and names others. Those that have not tell
 	// what changes quickly in few bytes.
 	Full bool
+	// Capacity is the sender's, as it knows itself.
+	Capacity Capacity
 }
 
 // Short returns the hello without what only full ones have.
@@ -108,4 +110,6 @@
 	Zone    string
 	// Knows is set for one that knows settings, as far as the sender has heard.
 	Knows bool
+	// Capacity is what that one told the sender of itself.
+	Capacity Capacity
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -4,10 +4,11 @@
 //
 // Balancers follow each other so that the store is asked by few. A balancer follows
 // a live peer with a lower rank, if there is one, in its zone or, where the zone is
-// small or has none, in any; ranks are a hash of the address. Ranks fall strictly along the
-// chain, so that there are no circles, and a balancer with no lower neighbour asks the store
-// itself. Each keeps only the neighbours nearest to itself by hash, so that tables stay small in
-// large zones, and at most about one balancer in maxZonePeers asks the store.
+// small or has none, in any; ranks go by the capacity that each tells of itself, the able ones
+// first, then by a hash of the address. Ranks fall strictly along the chain, so that there are no
+// circles, and a balancer with no lower neighbour asks the store itself. Each keeps only the
+// neighbours nearest to itself by hash, so that tables stay small in large zones, at most about
+// one balancer in maxZonePeers asks the store, and few able ones are not followed by a whole zone.
 //
 // # Usage
 //
@@ -51,18 +52,18 @@
 	sampleSize = 4
 )
 
-// Rank orders balancers; a lower one is followed by a higher one.
-type Rank uint64
+// Hash of a balancer's address says who is near to whom.
+type Hash uint64
 
-// RankOf returns the rank of the balancer at an address.
-func RankOf(address netip.AddrPort) Rank {
-	return Rank(xxh3.HashString(address.String()))
+// HashOf returns the hash of the balancer at an address.
+func HashOf(address netip.AddrPort) Hash {
+	return Hash(xxh3.HashString(address.String()))
 }
 
 // Peer is one other balancer.
 type Peer struct {
 	Hello
-	rank  Rank
+	hash  Hash
 	heard time.Duration
 	// greeted counts the hellos that went there.
 	greeted uint64
@@ -82,24 +83,31 @@
 // Table is what one balancer knows of others. It is not safe for concurrent use.
 type Table struct {
 	self  Introduction
-	rank  Rank
+	hash  Hash
 	peers map[netip.AddrPort]*Peer
 	round int
 }
 
 // New returns a table of the balancer itself that knows no other.
 func New(self Introduction) *Table {
-	return &Table{self: self, rank: RankOf(self.Control), peers: map[netip.AddrPort]*Peer{}}
+	return &Table{self: self, hash: HashOf(self.Control), peers: map[netip.AddrPort]*Peer{}}
 }
 
-// Introduce adds a balancer that was not heard yet.
+// Introduce adds a balancer that was not heard yet. Of one that is known, but was not heard, it
+// takes over the capacity; what a balancer says of itself stands.
 func (t *Table) Introduce(now time.Duration, other Introduction) {
-	if other.Control == t.self.Control || !other.Control.IsValid() || t.peers[other.Control] != nil {
+	if other.Control == t.self.Control || !other.Control.IsValid() {
+		return
+	}
+	if known := t.peers[other.Control]; known != nil {
+		if !known.everHeard {
+			known.Capacity = max(known.Capacity, other.Capacity)
+		}
 		return
 	}
 	t.peers[other.Control] = &Peer{
-		Hello: Hello{Control: other.Control, Zone: other.Zone},
-		rank:  RankOf(other.Control),
+		Hello: Hello{Control: other.Control, Zone: other.Zone, Capacity: other.Capacity},
+		hash:  HashOf(other.Control),
 		heard: now,
 	}
 }
@@ -147,7 +155,7 @@
 		return
 	}
 	slices.SortFunc(list, func(a, b *Peer) int {
-		return cmp.Compare(a.rank^t.rank, b.rank^t.rank)
+		return cmp.Compare(a.hash^t.hash, b.hash^t.hash)
 	})
 	for _, peer := range list[most:] {
 		delete(t.peers, peer.Control)
@@ -171,7 +179,7 @@
 			alive = append(alive, peer)
 		}
 	}
-	slices.SortFunc(alive, func(a, b *Peer) int { return cmp.Compare(a.rank, b.rank) })
+	slices.SortFunc(alive, func(a, b *Peer) int { return a.rank().Compare(b.rank()) })
 	return alive
 }
 
@@ -186,33 +194,36 @@
 	var sample []Introduction
 	for i := range min(sampleSize, len(alive)) {
 		peer := alive[(t.round*sampleSize+i)%len(alive)]
-		sample = append(sample, Introduction{Control: peer.Control, Zone: peer.Zone})
+		sample = append(sample, Introduction{Control: peer.Control, Zone: peer.Zone, Capacity: peer.Capacity})
 	}
 	return sample
 }
 
 // ForAsker returns live peers to name to the sender of a hello: those of its zone first, and
 // among these the nearest to it by hash, since it is looking for its neighbours. To one that
-// knows nothing yet, peers that do are named first.
+// knows nothing yet, peers that do are named first, and the able ones of these before others.
 func (t *Table) ForAsker(now time.Duration, asker *Hello) []Introduction {
-	rank, knows := RankOf(asker.Control), asker.Revision > 0
+	hash, knows := HashOf(asker.Control), asker.Revision > 0
 	alive := t.Alive(now)
 	slices.SortFunc(alive, func(a, b *Peer) int {
 		if aKnows, bKnows := a.Revision > 0, b.Revision > 0; !knows && aKnows != bKnows {
 			return cmp.Compare(b.Revision, a.Revision)
 		}
+		if !knows && a.Revision > 0 && a.Capacity != b.Capacity {
+			return cmp.Compare(b.Capacity, a.Capacity)
+		}
 		if aNear, bNear := a.Zone == asker.Zone, b.Zone == asker.Zone; aNear != bNear {
 			if aNear {
 				return -1
 			}
 			return 1
 		}
-		return cmp.Compare(a.rank^rank, b.rank^rank)
+		return cmp.Compare(a.hash^hash, b.hash^hash)
 	})
 	var named []Introduction
 	for _, peer := range alive {
 		if peer.Control != asker.Control && len(named) < sampleSize {
-			named = append(named, Introduction{Control: peer.Control, Zone: peer.Zone, Knows: peer.Revision > 0})
+			named = append(named, Introduction{Control: peer.Control, Zone: peer.Zone, Knows: peer.Revision > 0, Capacity: peer.Capacity})
 		}
 	}
 	return named
@@ -246,7 +257,7 @@
 	anyZone := t.zonePeers(alive) < smallZone
 	var elsewhere *Peer
 	for _, peer := range alive {
-		if peer.rank >= t.rank {
+		if peer.rank().Compare(t.rank()) >= 0 {
 			break
 		}
 		if peer.Leaving || now < peer.refusedUntil || peer.Age(now) > maxAge {
@@ -262,9 +273,9 @@
 	return elsewhere, elsewhere != nil
 }
 
-// Neighbours returns the balancers of the own zone by rank, as far as they are known.
+// Neighbours returns the balancers of the own zone by hash, as far as they are known.
 func (t *Table) Neighbours(now time.Duration) steering.Neighbours {
-	neighbours := steering.Neighbours{Own: uint64(t.rank)}
+	neighbours := steering.Neighbours{Own: uint64(t.hash)}
 	known := 0
 	for _, peer := range t.peers {
 		switch {
@@ -272,7 +283,7 @@
 			continue
 		case !peer.everHeard:
 		case now-peer.heard <= aliveTime && !peer.Leaving:
-			neighbours.Live = append(neighbours.Live, uint64(peer.rank))
+			neighbours.Live = append(neighbours.Live, uint64(peer.hash))
 		default:
 			neighbours.Silent++
 		}
@@ -293,7 +304,7 @@
 			continue
 		}
 		count++
-		if peer.rank < t.rank {
+		if peer.rank().Compare(t.rank()) < 0 {
 			index++
 		}
 	}
@@ -313,7 +324,7 @@
 // HasLower tells whether a live peer has a lower rank.
 func (t *Table) HasLower(now time.Duration) bool {
 	alive := t.Alive(now)
-	return len(alive) > 0 && alive[0].rank < t.rank
+	return len(alive) > 0 && alive[0].rank().Compare(t.rank()) < 0
 }
 
 // Failing returns how many live peers say that the store does not answer them.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -17,7 +17,7 @@
 	addresses := make([]netip.AddrPort, 0, count)
 	for number := range count {
 		at := 0
-		for at < len(addresses) && RankOf(addresses[at]) < RankOf(address(number)) {
+		for at < len(addresses) && HashOf(addresses[at]) < HashOf(address(number)) {
 			at++
 		}
 		addresses = append(addresses[:at], append([]netip.AddrPort{address(number)}, addresses[at:]...)...)
@@ -135,7 +135,7 @@
 		switch {
 		case !found:
 			roots++
-		case peer.rank >= table.rank:
+		case peer.rank().Compare(table.rank()) >= 0:
 			t.Fatalf("balancer %d follows a higher rank", number)
 		}
 		if len(table.peers) > maxZonePeers {
@@ -217,10 +217,10 @@
 	if len(nearest) != sampleSize {
 		t.Fatalf("%d are named", len(nearest))
 	}
-	far := RankOf(nearest[len(nearest)-1].Control) ^ RankOf(address(99))
+	far := HashOf(nearest[len(nearest)-1].Control) ^ HashOf(address(99))
 	closer := 0
 	for other := 1; other <= 20; other++ {
-		if RankOf(address(other))^RankOf(address(99)) < far {
+		if HashOf(address(other))^HashOf(address(99)) < far {
 			closer++
 		}
 	}
@@ -396,7 +396,7 @@
 	}
 	table.Introduce(0, Introduction{Control: address(9), Zone: "a"})
 	neighbours := table.Neighbours(time.Second)
-	if neighbours.Own != uint64(RankOf(address(0))) || len(neighbours.Live) != 2 || neighbours.Silent != 1 || neighbours.Bounded {
+	if neighbours.Own != uint64(HashOf(address(0))) || len(neighbours.Live) != 2 || neighbours.Silent != 1 || neighbours.Bounded {
 		t.Errorf("%+v", neighbours)
 	}
 	if neighbours = table.Neighbours(2 * aliveTime); len(neighbours.Live) != 0 || neighbours.Silent != 3 {
--- a/internal/peers/round.go
+++ b/internal/peers/round.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"net/netip"
@@ -82,8 +83,8 @@
 	for i := range targets {
 		peer := t.peers[targets[i].Control]
 		peer.greeted++
-		// Ranks spread the full ones over the rounds.
-		targets[i].Full = (peer.greeted+uint64(peer.rank))%every == 0
+		// Hashes spread the full ones over the rounds.
+		targets[i].Full = (peer.greeted+uint64(peer.hash))%every == 0
 	}
 	return targets
 }
@@ -125,14 +126,16 @@
 }
 
 // HurryRound returns whom a balancer that knows nothing asks in this round: some of the
-// others, in turn.
+// others, in turn, from the able ones on.
 func (t *Table) HurryRound() []Target {
-	t.round++
-	all := slices.SortedFunc(maps.Keys(t.peers), netip.AddrPort.Compare)
+	all := slices.SortedFunc(maps.Keys(t.peers), func(a, b netip.AddrPort) int {
+		return cmp.Or(cmp.Compare(t.peers[b].Capacity, t.peers[a].Capacity), a.Compare(b))
+	})
 	var targets []Target
 	for i := range min(hurryTargets, len(all)) {
 		targets = append(targets, Target{Control: all[(t.round*hurryTargets+i)%len(all)], Reply: true})
 	}
+	t.round++
 	return targets
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -68,6 +68,14 @@
 
 func zoneOf(number int) string { return fmt.Sprintf("zone-%c", 'a'+number%zoneCount) }
 
+// shareOf returns the share of a core that a balancer's settings file tells: one in three is able.
+func shareOf(number int) float64 {
+	if number%3 == 1 {
+		return 0.8
+	}
+	return 0.045
+}
+
 // newFleet writes the settings files of the balancers into folder.
 func newFleet(program, folder string, network byte, balancers int) (*fleet, error) {
 	f := &fleet{program: program, folder: folder, network: network}
@@ -77,9 +85,9 @@
 	}
 	for number := range balancers {
 		own := f.own(number)
-		text := fmt.Sprintf("node: balancer-%d\nzone: %s\ndata: %s:%d\nready: %s:%d\ncontrol: %s:%d\nadvertise: %s:%d\npeer_port: %d\nseeds: [%s]\nstore: %s\nready_path: /readiness\n",
+		text := fmt.Sprintf("node: balancer-%d\nzone: %s\ndata: %s:%d\nready: %s:%d\ncontrol: %s:%d\nadvertise: %s:%d\npeer_port: %d\nseeds: [%s]\nstore: %s\nready_path: /readiness\nlink_mbps: 200\ncpu_share: %v\n",
 			number, zoneOf(number), own, dataPort, own, readyPort, own, controlPort, f.relayed(number), controlPort, peerPort,
-			strings.Join(seeds, ", "), f.front(number))
+			strings.Join(seeds, ", "), f.front(number), shareOf(number))
 		settings := filepath.Join(folder, fmt.Sprintf("balancer-%d.yaml", number))
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			return nil, err
