Settings: values that many nodes have are written once, and resolving looks at each node once

Cause: what balancers tell each other of settings was decoded field by field by reflection, each change with its path, key and two values; checking, resolving and comparing walked the tree by maps of children and looked up all 22 keys of a node.

Change: trees and changes go as keys, lists of settings that nodes share, and for each node what its path shares with the one before; what was before a change isn't sent. Values are checked once for all nodes that share them. Differences are sought among the keys that nodes have; groups are indexed by service in one walk, and the touched services of a growth without one.

--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -25,7 +25,7 @@
 	// Version and Revision are those of the settings that it leads to.
 	Version  uint64
 	Revision uint64
-	Changes  []settings.Change
+	Changes  settings.Changes
 }
 
 // maxSteps is how many steps to the settings in force are kept for those who ask:
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -23,18 +24,40 @@
 // Diff returns the changes that lead from before to after, in path order. Its cost
 // beyond one look at each node grows with the differences alone.
 func Diff(before, after Tree) []Change {
-	var changes []Change
-	for _, path := range differing(before, after) {
-		for _, field := range Fields {
-			old, now := before[path][field.Key], after[path][field.Key]
-			if old != now {
-				changes = append(changes, Change{Path: path, Key: field.Key, Before: old, After: now})
-			}
+	paths := differing(before, after)
+	changes := make([]Change, 0, 2*len(paths))
+	for _, path := range paths {
+		changes = appendDifferences(changes, path, before[path], after[path])
+	}
+	return changes
+}
+
+// appendDifferences adds the changes of one node, in the order of Fields.
+func appendDifferences(changes []Change, path Path, before, after Values) []Change {
+	first := len(changes)
+	for key, now := range after {
+		if old := before[key]; old != now {
+			changes = append(changes, Change{Path: path, Key: key, Before: old, After: now})
+		}
+	}
+	for key, old := range before {
+		if _, kept := after[key]; !kept && old != "" {
+			changes = append(changes, Change{Path: path, Key: key, Before: old})
 		}
 	}
+	slices.SortFunc(changes[first:], func(a, b Change) int { return cmp.Compare(fieldOrder[a.Key], fieldOrder[b.Key]) })
 	return changes
 }
 
+// fieldOrder is where a key stands in Fields.
+var fieldOrder = func() map[Key]int {
+	order := make(map[Key]int, len(Fields))
+	for i := range Fields {
+		order[Fields[i].Key] = i
+	}
+	return order
+}()
+
 // differing returns the paths of nodes whose own values differ, in order.
 func differing(before, after Tree) []Path {
 	var paths []Path
@@ -56,45 +79,88 @@
 // the nodes that do not differ. Missing parents are added, and a node whose last value
 // went is removed unless it has children. A change that is not allowed is an error.
 func (t Tree) With(changes []Change) (Tree, error) {
-	next := maps.Clone(t)
-	owned := make(map[Path]bool, len(changes))
+	next := make(Tree, len(t)+len(changes))
+	maps.Copy(next, t)
+	var shared sharedValues
 	var emptied []Path
-	for _, change := range changes {
-		path := change.Path
-		if parsed, err := ParsePath(string(path)); err != nil || parsed != path {
-			return nil, fmt.Errorf("%q is not a path", path)
-		}
-		if !owned[path] {
-			owned[path] = true
-			next[path] = cloneValues(next[path])
-		}
-		if change.After == "" {
-			delete(next[path], change.Key)
-			if len(next[path]) == 0 {
-				emptied = append(emptied, path)
-			}
-			continue
+	for len(changes) > 0 {
+		path, count := changes[0].Path, 1
+		for count < len(changes) && changes[count].Path == path {
+			count++
 		}
-		if err := next.Set(path, change.Key, change.After); err != nil {
+		empty, err := next.change(path, changes[:count], &shared)
+		if err != nil {
 			return nil, err
 		}
-		next.addParents(path)
+		if empty {
+			emptied = append(emptied, path)
+		}
+		changes = changes[count:]
 	}
 	next.prune(emptied)
 	return next, nil
 }
 
-func cloneValues(values Values) Values {
-	if values == nil {
-		return Values{}
+// change makes the changes of one node in a tree that does not share it; it tells whether the
+// node has no values any more.
+func (t Tree) change(path Path, changes []Change, shared *sharedValues) (empty bool, err error) {
+	if parsed, err := ParsePath(string(path)); err != nil || parsed != path {
+		return false, fmt.Errorf("%q is not a path", path)
 	}
-	return maps.Clone(values)
+	values, err := withChanges(t[path], changes, shared)
+	if err != nil {
+		return false, err
+	}
+	t[path] = values
+	if len(values) == 0 {
+		return true, nil
+	}
+	t.addParents(path)
+	return false, nil
 }
 
+// withChanges returns the values of a node with the changes made, and leaves values as they
+// are. New nodes with the same values share them.
+func withChanges(values Values, changes []Change, shared *sharedValues) (Values, error) {
+	path := changes[0].Path
+	if len(values) == 0 {
+		given, removes := shared.buffer[:0], false
+		for _, change := range changes {
+			given = append(given, setting{change.Key, change.After})
+			removes = removes || change.After == ""
+		}
+		shared.buffer = given
+		if !removes {
+			made, err := shared.of(path.Level(), given)
+			if err != nil {
+				err = fmt.Errorf("%s: %w", path, err)
+			}
+			return made, err
+		}
+	}
+	changed := make(Values, len(values)+len(changes))
+	maps.Copy(changed, values)
+	for _, change := range changes {
+		if change.After == "" {
+			delete(changed, change.Key)
+			continue
+		}
+		canonical, err := canonicalAt(path.Level(), change.Key, change.After)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		changed[change.Key] = canonical
+	}
+	return changed, nil
+}
+
+// noValues are those of nodes that are there for what is below them; they are shared.
+var noValues = Values{}
+
 // addParents adds the nodes above path that are missing.
 func (t Tree) addParents(path Path) {
 	for at := path.Parent(); t[at] == nil; at = at.Parent() {
-		t[at] = Values{}
+		t[at] = noValues
 	}
 }
 
--- a/internal/settings/encode.go
+++ b/internal/settings/encode.go
@@ -4,100 +4,235 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// maxNodes bounds the nodes of a tree that is decoded.
-const maxNodes = 1 << 20
+const (
+	// maxNodes bounds the nodes of a tree that is decoded, and its changes.
+	maxNodes = 1 << 20
+	// maxSized bounds what is allocated for as many elements as a message announces.
+	maxSized = 1 << 16
+	// listParts are the parts of an encoded list: keys, common values and nodes.
+	listParts = 3
+)
+
+// Changes are differences between two trees as balancers tell each other: by node, without
+// what was there before, and values that many nodes have are written once.
+type Changes []Change
 
-// EncodeMsgpack implements msgpack.CustomEncoder: paths in order, each followed by a map
-// of the node's own values, so that equal trees are equal bytes.
+// setting is one value of a node; an empty one is taken away.
+type setting struct {
+	key   Key
+	value string
+}
+
+// nodeSettings are the settings of one node, in one order for equal ones.
+type nodeSettings struct {
+	path     Path
+	settings []setting
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder: paths in order, so that equal trees are
+// equal bytes.
 func (t Tree) EncodeMsgpack(encoder *msgpack.Encoder) error {
-	if err := encoder.EncodeArrayLen(2 * len(t)); err != nil {
+	nodes := make([]nodeSettings, 0, len(t))
+	for _, path := range t.Paths() {
+		node := nodeSettings{path: path}
+		for _, key := range slices.Sorted(maps.Keys(t[path])) {
+			node.settings = append(node.settings, setting{key, t[path][key]})
+		}
+		nodes = append(nodes, node)
+	}
+	return encodeNodes(encoder, nodes)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder. The tree is in canonical form; a path,
+// key or value that is not allowed is an error. Nodes with the same values share them:
+// most services of a large tree have groups that differ by their path alone.
+func (t *Tree) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	*t = Tree{"": Values{}}
+	var shared sharedValues
+	return decodeNodes(decoder, func(count int) {
+		*t = make(Tree, min(count, maxSized))
+		(*t)[""] = Values{}
+	}, func(path Path, given []setting) error {
+		var err error
+		(*t)[path], err = shared.of(path.Level(), given)
 		return err
+	})
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (c Changes) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	var nodes []nodeSettings
+	for _, change := range c {
+		if len(nodes) == 0 || nodes[len(nodes)-1].path != change.Path {
+			nodes = append(nodes, nodeSettings{path: change.Path})
+		}
+		node := &nodes[len(nodes)-1]
+		node.settings = append(node.settings, setting{change.Key, change.After})
 	}
-	for _, path := range t.Paths() {
-		if err := encoder.EncodeString(string(path)); err != nil {
-			return err
+	return encodeNodes(encoder, nodes)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder. Whether the changes are allowed shows when
+// they are made.
+func (c *Changes) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	*c = nil
+	return decodeNodes(decoder, func(count int) {
+		*c = make(Changes, 0, min(count, maxSized))
+	}, func(path Path, given []setting) error {
+		if len(*c)+len(given) > maxNodes {
+			return fmt.Errorf("more than %d changes", maxNodes)
+		}
+		for _, s := range given {
+			*c = append(*c, Change{Path: path, Key: s.key, After: s.value})
 		}
-		if err := encodeValues(encoder, t[path]); err != nil {
+		return nil
+	})
+}
+
+// encodeNodes writes the keys, the lists of settings that several nodes have, and for each
+// node: how many bytes its path shares with the one before, the rest of it, the list that it
+// has, and the settings that no other node has.
+func encodeNodes(encoder *msgpack.Encoder, nodes []nodeSettings) error {
+	list := newNodeList(nodes)
+	if err := encoder.EncodeArrayLen(listParts); err != nil {
+		return err
+	}
+	if err := list.encodeKeys(encoder); err != nil {
+		return err
+	}
+	if err := list.encodeCommon(encoder); err != nil {
+		return err
+	}
+	if err := encoder.EncodeArrayLen(list.length); err != nil {
+		return err
+	}
+	before := Path("")
+	for i := range nodes {
+		if err := list.encodeNode(encoder, i, before); err != nil {
 			return err
 		}
+		before = nodes[i].path
 	}
 	return nil
 }
 
-func encodeValues(encoder *msgpack.Encoder, values Values) error {
-	if err := encoder.EncodeMapLen(len(values)); err != nil {
+// nodeList is nodes as they are written.
+type nodeList struct {
+	nodes []nodeSettings
+	keys  []Key
+	keyAt map[Key]int
+	// common are the lists of settings that nodes share; of has a node's, own what is its own.
+	common [][]setting
+	of     []int
+	own    [][]setting
+	// length counts the elements of all nodes.
+	length int
+}
+
+// partsPerNode and partsPerSetting are the elements that a node and a setting of it have.
+const (
+	partsPerNode    = 4
+	partsPerSetting = 2
+)
+
+func newNodeList(nodes []nodeSettings) *nodeList {
+	list := &nodeList{nodes: nodes, keyAt: map[Key]int{}, of: make([]int, len(nodes)), own: make([][]setting, len(nodes))}
+	seen := map[setting]int{}
+	for i := range nodes {
+		for _, s := range nodes[i].settings {
+			seen[s]++
+		}
+	}
+	commonAt := map[string]int{}
+	var common, own []setting
+	var name []byte
+	for i := range nodes {
+		common, name = common[:0], name[:0]
+		first := len(own)
+		for _, s := range nodes[i].settings {
+			if _, known := list.keyAt[s.key]; !known {
+				list.keyAt[s.key] = len(list.keys)
+				list.keys = append(list.keys, s.key)
+			}
+			if seen[s] == 1 {
+				own = append(own, s)
+				continue
+			}
+			common = append(common, s)
+			name = append(append(append(append(name, s.key...), 0), s.value...), 0)
+		}
+		list.own[i] = own[first:]
+		at, known := commonAt[string(name)]
+		if !known {
+			at = len(list.common)
+			commonAt[string(name)] = at
+			list.common = append(list.common, slices.Clone(common))
+		}
+		list.of[i] = at
+		list.length += partsPerNode + partsPerSetting*len(list.own[i])
+	}
+	return list
+}
+
+func (l *nodeList) encodeKeys(encoder *msgpack.Encoder) error {
+	if err := encoder.EncodeArrayLen(len(l.keys)); err != nil {
 		return err
 	}
-	for _, key := range slices.Sorted(maps.Keys(values)) {
+	for _, key := range l.keys {
 		if err := encoder.EncodeString(string(key)); err != nil {
 			return err
 		}
-		if err := encoder.EncodeString(values[key]); err != nil {
-			return err
-		}
 	}
 	return nil
 }
 
-// DecodeMsgpack implements msgpack.CustomDecoder. The tree is in canonical form; a path,
-// key or value that is not allowed is an error. Nodes with the same values share them:
-// most services of a large tree have groups that differ by their path alone.
-func (t *Tree) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	length, err := decoder.DecodeArrayLen()
-	if err != nil {
+func (l *nodeList) encodeCommon(encoder *msgpack.Encoder) error {
+	if err := encoder.EncodeArrayLen(len(l.common)); err != nil {
 		return err
 	}
-	if length > 2*maxNodes || length > 0 && length%2 != 0 {
-		return fmt.Errorf("a tree of %d parts", length)
-	}
-	*t = Tree{"": Values{}}
-	shared := map[string]Values{}
-	for range max(length, 0) / 2 {
-		text, err := decoder.DecodeString()
-		if err != nil {
+	for _, common := range l.common {
+		if err := encoder.EncodeArrayLen(partsPerSetting * len(common)); err != nil {
 			return err
 		}
-		path, err := ParsePath(text)
-		if err != nil || string(path) != text {
-			return fmt.Errorf("%q is not a path", text)
-		}
-		if (*t)[path], err = decodeValues(decoder, path, shared); err != nil {
+		if err := l.encodeSettings(encoder, common); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// decodeValues reads the values of one node, or finds them among the shared ones.
-func decodeValues(decoder *msgpack.Decoder, path Path, shared map[string]Values) (Values, error) {
-	count, err := decoder.DecodeMapLen()
-	if err != nil {
-		return nil, err
-	}
-	var texts []string
-	for range 2 * max(count, 0) {
-		text, err := decoder.DecodeString()
-		if err != nil {
-			return nil, err
+func (l *nodeList) encodeSettings(encoder *msgpack.Encoder, settings []setting) error {
+	for _, s := range settings {
+		if err := encoder.EncodeInt(int64(l.keyAt[s.key])); err != nil {
+			return err
+		}
+		if err := encoder.EncodeString(s.value); err != nil {
+			return err
 		}
-		texts = append(texts, text)
 	}
-	// What may be set depends on the level; no key has a zero byte.
-	name := fmt.Sprintf("%d %d ", path.Level(), len(texts)) + strings.Join(texts, "\x00")
-	if known := shared[name]; known != nil {
-		return known, nil
+	return nil
+}
+
+func (l *nodeList) encodeNode(encoder *msgpack.Encoder, i int, before Path) error {
+	path, shared := l.nodes[i].path, 0
+	for shared < len(path) && shared < len(before) && path[shared] == before[shared] {
+		shared++
 	}
-	node := Tree{path: Values{}}
-	for i := 0; i < len(texts); i += 2 {
-		if err := node.Set(path, Key(texts[i]), texts[i+1]); err != nil {
-			return nil, err
-		}
+	if err := encoder.EncodeInt(int64(shared)); err != nil {
+		return err
+	}
+	if err := encoder.EncodeString(string(path[shared:])); err != nil {
+		return err
+	}
+	if err := encoder.EncodeInt(int64(l.of[i])); err != nil {
+		return err
+	}
+	if err := encoder.EncodeInt(int64(len(l.own[i]))); err != nil {
+		return err
 	}
-	shared[name] = node[path]
-	return node[path], nil
+	return l.encodeSettings(encoder, l.own[i])
 }
--- a/internal/settings/snapshot.go
+++ b/internal/settings/snapshot.go
@@ -76,6 +76,8 @@
 	// Backends lists each back end once, also when services share it.
 	Backends  map[BackendID]*Backend
 	byAddress map[netip.AddrPort]*Service
+	// references is set where a service uses the back ends of another one.
+	references bool
 }
 
 // ServiceAt returns the service of the address, or nil.
@@ -85,11 +87,13 @@
 
 // Resolve computes the effective settings of a valid tree.
 func Resolve(tree Tree, revision uint64) *Snapshot {
-	snapshot := newSnapshot(tree, revision)
-	children := tree.childIndex()
+	index := tree.index(nil)
+	snapshot := newSnapshot(tree, revision, len(index.services))
 	inherited := resolveService(tree, "", &Service{})
-	for _, path := range children[""] {
-		snapshot.addService(snapshot.resolve(children, path, inherited))
+	groups := groupReader{tree: tree}
+	slices.Sort(index.services)
+	for _, path := range index.services {
+		snapshot.addService(snapshot.resolve(&index, &groups, path, inherited))
 	}
 	return snapshot
 }
@@ -99,27 +103,46 @@
 // so that the cost of one edit does not grow with all that is resolved.
 func ResolveFrom(previous *Snapshot, tree Tree, revision uint64, changes []Change) *Snapshot {
 	touched := touchedServices(changes)
-	if touched[""] || len(previous.Backends) > 0 || tree.hasReferences(previous.Services, touched) {
+	if touched[""] || len(previous.Backends) > 0 || hasBackend(changes) || tree.hasReferences(previous.Services, touched) {
 		// The root is inherited by all, and services may share back ends and groups.
 		return Resolve(tree, revision)
 	}
-	snapshot := newSnapshot(tree, revision)
+	snapshot := newSnapshot(tree, revision, len(previous.Services)+len(touched))
 	for _, service := range previous.Services {
 		if path := Path(service.Name); !touched[path] && tree[path] != nil {
 			snapshot.addService(service)
 		}
 	}
-	children := tree.childIndexOf(touched)
+	index := previous.indexOf(tree, touched, changes)
 	inherited := resolveService(tree, "", &Service{})
+	groups := groupReader{tree: tree}
 	for path := range touched {
 		if tree[path] != nil {
-			snapshot.addService(snapshot.resolve(children, path, inherited))
+			snapshot.addService(snapshot.resolve(&index, &groups, path, inherited))
 		}
 	}
 	slices.SortFunc(snapshot.Services, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
 	return snapshot
 }
 
+// indexOf indexes the touched services of a tree without back ends of its own. All of a
+// service that is new is among the changes, so that the rest needs no look.
+func (s *Snapshot) indexOf(tree Tree, touched map[Path]bool, changes []Change) index {
+	for path := range touched {
+		if s.Tree[path] != nil {
+			return tree.index(touched)
+		}
+	}
+	found := index{groups: make(map[Path][]Path, len(touched))}
+	for i, change := range changes {
+		if change.Path.Level() == LevelGroup && (i == 0 || changes[i-1].Path != change.Path) && tree[change.Path] != nil {
+			found.addGroup(change.Path)
+		}
+	}
+	found.sort()
+	return found
+}
+
 // hasReferences tells whether one of the services uses the back ends of another one.
 func (t Tree) hasReferences(services []*Service, touched map[Path]bool) bool {
 	for _, service := range services {
@@ -135,12 +158,13 @@
 	return false
 }
 
-func newSnapshot(tree Tree, revision uint64) *Snapshot {
+func newSnapshot(tree Tree, revision uint64, services int) *Snapshot {
 	return &Snapshot{
 		Revision:  revision,
 		Tree:      tree,
+		Services:  make([]*Service, 0, services),
 		Backends:  map[BackendID]*Backend{},
-		byAddress: map[netip.AddrPort]*Service{},
+		byAddress: make(map[netip.AddrPort]*Service, services),
 	}
 }
 
@@ -150,11 +174,12 @@
 }
 
 // resolve computes one service; inherited has the values in force at the root.
-func (s *Snapshot) resolve(children childIndex, path Path, inherited *Service) *Service {
+func (s *Snapshot) resolve(index *index, groups *groupReader, path Path, inherited *Service) *Service {
 	service := resolveService(s.Tree, path, inherited)
 	root := backendsRoot(s.Tree, path)
-	service.Backends = s.resolveBackends(s.Tree, children, root)
-	service.Groups = resolveGroups(s.Tree, children, root)
+	s.references = s.references || root != path
+	service.Backends = s.resolveBackends(s.Tree, index.backends[root])
+	service.Groups = groups.of(index.groups[root])
 	return service
 }
 
@@ -174,7 +199,7 @@
 func resolveService(tree Tree, path Path, inherited *Service) *Service {
 	service := *inherited
 	service.Name = path.Name()
-	read := ownReader{tree: tree, path: path}
+	read := ownReader{values: tree[path], root: path == ""}
 	read.address(KeyAddress, &service.Address)
 	read.duration(KeyRequestDeadline, &service.RequestDeadline)
 	read.duration(KeyRequestLifetime, &service.RequestLifetime)
@@ -191,15 +216,15 @@
 // into fields; where there is none the field keeps what it has. The tree is valid, so
 // parse errors cannot occur and are not returned.
 type ownReader struct {
-	tree Tree
-	path Path
+	values Values
+	root   bool
 }
 
 func (r ownReader) text(key Key) (string, bool) {
-	if value, given := r.tree[r.path][key]; given {
+	if value, given := r.values[key]; given {
 		return value, true
 	}
-	if r.path != "" {
+	if !r.root {
 		return "", false
 	}
 	value := fieldsByKey[key].Default
@@ -236,42 +261,17 @@
 	}
 }
 
-// resolveGroups returns the groups below service whose back ends announce themselves.
-func resolveGroups(tree Tree, children childIndex, service Path) []Group {
-	var groups []Group
-	for _, zone := range children[service] {
-		for _, path := range children[zone] {
-			reader := reader{tree, path}
-			discover := reader.text(KeyDiscover)
-			if discover == "" {
-				continue
-			}
-			groups = append(groups, Group{
-				Path:       path,
-				Discover:   discover,
-				Share:      reader.float(KeyShare),
-				SlowStart:  reader.duration(KeySlowStart),
-				WarmUpRate: reader.float(KeyWarmUpRate),
-			})
-		}
-	}
-	return groups
-}
-
-func (s *Snapshot) resolveBackends(tree Tree, children childIndex, service Path) []*Backend {
+func (s *Snapshot) resolveBackends(tree Tree, paths []Path) []*Backend {
 	var backends []*Backend
-	for _, zone := range children[service] {
+	for _, path := range paths {
+		zone := path.Parent().Parent()
 		evacuated := tree[zone][KeyEvacuated] == "true"
-		for _, group := range children[zone] {
-			for _, path := range children[group] {
-				backend := resolveBackend(tree, path, zone.Name(), evacuated)
-				if known := s.Backends[backend.ID]; known != nil {
-					backend = known
-				}
-				s.Backends[backend.ID] = backend
-				backends = append(backends, backend)
-			}
+		backend := resolveBackend(tree, path, zone.Name(), evacuated)
+		if known := s.Backends[backend.ID]; known != nil {
+			backend = known
 		}
+		s.Backends[backend.ID] = backend
+		backends = append(backends, backend)
 	}
 	slices.SortFunc(backends, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
 	return backends
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -120,26 +120,35 @@
 // Set gives the node at path its own value, creating the node. It returns an
 // error that names path, key, value and what is allowed.
 func (t Tree) Set(path Path, key Key, text string) error {
-	field, known := FieldOf(key)
-	if !known {
-		return fmt.Errorf("%s: unknown setting %q", path, key)
+	canonical, err := canonicalAt(path.Level(), key, text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if t[path] == nil {
+		t[path] = Values{}
+	}
+	t[path][key] = canonical
+	return nil
+}
+
+// canonicalAt returns the canonical form of a value that is set on a node of the level, or why
+// it is not allowed.
+func canonicalAt(level Level, key Key, text string) (string, error) {
+	field := fieldsByKey[key]
+	if field == nil {
+		return "", fmt.Errorf("unknown setting %q", key)
 	}
-	level := path.Level()
 	if level >= levelCount {
-		return fmt.Errorf("%s: at most service/zone/group/backend", path)
+		return "", fmt.Errorf("at most service/zone/group/backend")
 	}
 	if level < field.First || level > field.Last || (key == KeyAddress && level != LevelService && level != LevelBackend) {
-		return fmt.Errorf("%s: %s cannot be set on a %s", path, key, level)
+		return "", fmt.Errorf("%s cannot be set on a %s", key, level)
 	}
 	canonical, err := field.canonical(text)
 	if err != nil {
-		return fmt.Errorf("%s: %s=%q: %w; allowed: %s", path, key, text, err, field.Allowed)
-	}
-	if t[path] == nil {
-		t[path] = Values{}
+		return "", fmt.Errorf("%s=%q: %w; allowed: %s", key, text, err, field.Allowed)
 	}
-	t[path][key] = canonical
-	return nil
+	return canonical, nil
 }
 
 // Parse reads a tree from YAML. It returns every fault found, each with its line.
@@ -253,27 +262,6 @@
 	return children
 }
 
-// childIndex lists the children of each path in order, for walks of a whole tree.
-type childIndex map[Path][]Path
-
-func (t Tree) childIndex() childIndex {
-	return t.childIndexOf(nil)
-}
-
-// childIndexOf is the index of some services alone, and of all where services is nil.
-func (t Tree) childIndexOf(services map[Path]bool) childIndex {
-	index := childIndex{}
-	for path := range t {
-		if path != "" && (services == nil || services[path.Service()]) {
-			index[path.Parent()] = append(index[path.Parent()], path)
-		}
-	}
-	for _, children := range index {
-		slices.Sort(children)
-	}
-	return index
-}
-
 // Effective returns the value in force at path and the path it comes from.
 // The source is "default" when no node gives the value; the value is empty
 // when there is no default either.
