Balancers: an answer is passed on as it came to those who ask the same

Cause: a balancer that tells others encoded and compressed anew what it had just been told: 3 ms of a whole core for 1,500 routes, as much as taking it in, and 1.2 MB for the compressor.

Change: changes that came as the answer to what is believed here are kept as they came, under that question; whoever asks the same gets these bytes. Not where the settings were refused, or something else was learned meanwhile.

--- a/internal/edge/answers.go
+++ b/internal/edge/answers.go
@@ -22,6 +22,8 @@
 	// compressFrom is the length from which answers are compressed, in bytes: links of
 	// balancers are narrow, and many followers ask for the same at once.
 	compressFrom = 2048
+	// usualRatio is how much longer an answer is than its compressed form, roughly.
+	usualRatio = 12
 	// maxAnswers is how many encoded answers are kept for one generation.
 	maxAnswers = 8
 )
@@ -40,20 +42,34 @@
 	encoded    map[question]encodedAnswer
 }
 
-// get returns the encoded answer to a question, built anew unless one of the same
-// generation of beliefs is kept.
-func (a *answers) get(generation uint64, q question, build func() *peerAnswer) (encodedAnswer, error) {
+// put keeps an answer that another balancer gave to a question, for those who ask the same here.
+func (a *answers) put(generation uint64, q question, encoded encodedAnswer) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.encodedAt(generation)[q] = encoded
+}
+
+// encodedAt returns the answers of a generation, of which there is room for one more. The lock
+// is held.
+func (a *answers) encodedAt(generation uint64) map[question]encodedAnswer {
 	if a.encoded == nil || a.generation != generation || len(a.encoded) >= maxAnswers {
 		a.generation, a.encoded = generation, map[question]encodedAnswer{}
 	}
-	if known, found := a.encoded[q]; found {
+	return a.encoded
+}
+
+// get returns the encoded answer to a question, built anew unless one of the same
+// generation of beliefs is kept.
+func (a *answers) get(generation uint64, q question, build func() *peerAnswer) (encodedAnswer, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	kept := a.encodedAt(generation)
+	if known, found := kept[q]; found {
 		return known, nil
 	}
 	encoded, err := encodeAnswer(build())
 	if err == nil {
-		a.encoded[q] = encoded
+		kept[q] = encoded
 	}
 	return encoded, err
 }
@@ -87,22 +103,28 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", headerAge, err)
 	}
-	var body io.Reader = http.MaxBytesReader(nil, reply.Body, maxPeerAnswer)
-	if reply.Header.Get("Content-Encoding") == encodingGzip {
-		unpacked, err := gzip.NewReader(body)
-		if err != nil {
+	answer := &peerAnswer{Age: time.Duration(age)}
+	answer.received.compressed = reply.Header.Get("Content-Encoding") == encodingGzip
+	if answer.received.bytes, err = io.ReadAll(http.MaxBytesReader(nil, reply.Body, maxPeerAnswer)); err != nil {
+		return nil, err
+	}
+	plain := answer.received.bytes
+	if answer.received.compressed {
+		if plain, err = unpack(plain); err != nil {
 			return nil, err
 		}
-		body = io.LimitReader(unpacked, maxPeerAnswer)
 	}
-	answer := &peerAnswer{}
-	encoded, err := io.ReadAll(body)
+	return answer, codec.Unmarshal(plain, answer)
+}
+
+// unpack returns what was compressed, at most maxPeerAnswer bytes of it.
+func unpack(packed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, err
 	}
-	if err := codec.Unmarshal(encoded, answer); err != nil {
-		return nil, err
-	}
-	answer.Age = time.Duration(age)
-	return answer, nil
+	var plain bytes.Buffer
+	plain.Grow(usualRatio * len(packed))
+	_, err = plain.ReadFrom(io.LimitReader(reader, maxPeerAnswer))
+	return plain.Bytes(), err
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -121,7 +121,7 @@
 	case answer.Listing != nil:
 		n.replace(answer.Listing, call.Peer.String(), answer.Age)
 	case answer.Changes != nil:
-		n.apply(answer.Changes, call.Peer.String(), answer.Age)
+		n.applyTold(answer, have, call.Peer.String())
 	default:
 		return 0, errEmptyAnswer
 	}
@@ -208,6 +208,27 @@
 	n.steerBy(events, from, age)
 }
 
+// applyTold takes over changes that another balancer gave as its answer to a question. They
+// are passed on as they came to those who ask the same here: to encode them anew is half of what
+// a change costs a balancer that tells others.
+func (n *Node) applyTold(answer *peerAnswer, asked question, from string) {
+	changes := answer.Changes
+	n.withDefaults(changes.Settings)
+	n.beliefs.Lock()
+	defer n.beliefs.Unlock()
+	passedOn := n.question() == asked && changes.Settings == nil
+	events := n.directory.Apply(n.now(), changes)
+	n.steerBy(events, from, answer.Age)
+	if step := changes.Step; passedOn && (step == nil || step.Revision == n.directory.SettingsRevision()) {
+		n.answers.put(n.generation, asked, answer.received)
+	}
+}
+
+// question is what this balancer asks others. The beliefs lock is held.
+func (n *Node) question() question {
+	return question{n.directory.Revision(), n.directory.SettingsRevision()}
+}
+
 // steerBy lets packets be steered by what is believed now and tells those who
 // follow. The beliefs lock is held.
 func (n *Node) steerBy(events []directory.Event, from string, age time.Duration) {
@@ -254,7 +275,7 @@
 func (n *Node) have() (question, time.Duration) {
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
-	return question{n.directory.Revision(), n.directory.SettingsRevision()}, n.beliefAge()
+	return n.question(), n.beliefAge()
 }
 
 func (n *Node) revision() uint64 {
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -43,6 +43,8 @@
 	// Age is how long ago the store confirmed them. It goes in a header, since the same
 	// answer is sent to many.
 	Age time.Duration `msgpack:"-"`
+	// received is the answer as it came.
+	received encodedAnswer
 	// Changes follow what the asker has; Listing stands where they are not known.
 	Changes *directory.Changes
 	Listing *directory.Listing
