Settings are taken in in pieces between which packets are handled

Cause: decoding, checking and resolving 1,500 routes ran in one go under the lock of beliefs. At 0.045 of a core that is 0.3 s in which no packet is handled and no hello sent; at a start the process took it for its own standstill and dropped what waited (1,326 openings "stale" after one loss of power).

Change: decoding pauses after each 16 KB; settings are prepared outside the lock, in one pass over the touched services with a pause after each 0.4 ms of a whole core, and put in force in one moment, only where those that they were prepared on still are; else they are made anew under the lock. A pause is a sleep: a process that is never idle looks for packets each 10 ms alone.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -16,6 +16,7 @@
 
 import (
 	"bytes"
+	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -23,15 +24,57 @@
 // Unmarshal decodes one msgpack value into the value that into points to. Bytes after the
 // value are ignored. Errors are the library's; into may then be half filled.
 func Unmarshal(data []byte, into any) error {
+	return unmarshal(bytes.NewReader(data), into)
+}
+
+// UnmarshalInPieces is Unmarshal that calls pause after each piece of data of some bytes, so
+// that a long message does not keep the processor from other work.
+func UnmarshalInPieces(data []byte, into any, piece int, pause func()) error {
+	return unmarshal(&piecewise{Reader: bytes.NewReader(data), piece: piece, left: piece, pause: pause}, into)
+}
+
+type source interface {
+	io.ReadSeeker
+	io.ByteScanner
+}
+
+func unmarshal(data source, into any) error {
 	decoder := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(decoder)
 	decoder.UsePreallocateValues(true)
-	reader := bytes.NewReader(data)
-	decoder.Reset(reader)
+	decoder.Reset(data)
 	if err := decoder.Skip(); err != nil {
 		return err
 	}
-	reader.Reset(data)
-	decoder.Reset(reader)
+	if _, err := data.Seek(0, io.SeekStart); err != nil {
+		return err
+	}
+	decoder.Reset(data)
 	return decoder.Decode(into)
 }
+
+// piecewise pauses after each piece that was read.
+type piecewise struct {
+	*bytes.Reader
+	piece, left int
+	pause       func()
+}
+
+func (p *piecewise) Read(b []byte) (int, error) {
+	n, err := p.Reader.Read(b)
+	p.read(n)
+	return n, err
+}
+
+func (p *piecewise) ReadByte() (byte, error) {
+	b, err := p.Reader.ReadByte()
+	p.read(1)
+	return b, err
+}
+
+func (p *piecewise) read(n int) {
+	if p.left -= n; p.left <= 0 {
+		p.left = p.piece
+		p.pause()
+	}
+}
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -69,3 +69,21 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// TestALongMessageIsReadInPieces: it pauses as often as there are pieces, in both passes.
+func TestALongMessageIsReadInPieces(t *testing.T) {
+	sent := message{Elements: make([]element, 1000), Names: []string{"last"}}
+	data, err := msgpack.Marshal(&sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const piece = 4096
+	var got message
+	pauses := 0
+	if err := UnmarshalInPieces(data, &got, piece, func() { pauses++ }); err != nil {
+		t.Fatal(err)
+	}
+	if least := 2 * (len(data)/piece - 1); pauses < least || len(got.Elements) != 1000 || got.Names[0] != "last" {
+		t.Errorf("%d pauses in %d bytes, want %d", pauses, len(data), least)
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -59,6 +59,8 @@
 	Revision uint64
 	// Settings is nil while operators have written none.
 	Settings *Settings
+	// Prepared is Settings prepared beforehand, nil where they were not.
+	Prepared *Prepared `msgpack:"-"`
 	Records  []Record
 	// Evacuations are what operators said of zones; a zone that is not named takes flows.
 	Evacuations []Evacuation
@@ -77,9 +79,11 @@
 	// Settings is the newest version among the changes, nil for none.
 	Settings *Settings
 	// Step stands in place of Settings where the one who asked has its base.
-	Step    *Step
-	Records []Record
-	Gone    []Gone
+	Step *Step
+	// Prepared is Settings or Step prepared beforehand, nil where they were not.
+	Prepared *Prepared `msgpack:"-"`
+	Records  []Record
+	Gone     []Gone
 	// Evacuations are what operators said of zones, the newest word on each last.
 	Evacuations []Evacuation
 }
@@ -183,7 +187,7 @@
 		return nil
 	}
 	d.revision = listing.Revision
-	events := d.applySettings(nil, listing.Settings)
+	events := d.takeOver(nil, listing.Settings, nil, listing.Prepared)
 	events = d.replaceEvacuations(events, listing)
 	listed := make(map[settings.BackendID]bool, len(listing.Records))
 	for _, id := range listing.Unreadable {
@@ -205,13 +209,10 @@
 // from settings that are not those in force it stays complete to where it was, so that
 // the same is asked for again.
 func (d *Directory) Apply(now time.Duration, changes *Changes) []Event {
-	events := d.applySettings(nil, changes.Settings)
-	if step := changes.Step; step != nil && step.Revision > d.settings.Revision {
-		if step.Base != d.settings.Revision {
-			return events
-		}
-		events = d.applyStep(events, step)
+	if step := changes.Step; step != nil && step.Revision > d.settings.Revision && step.Base != d.settings.Revision {
+		return nil
 	}
+	events := d.takeOver(nil, changes.Settings, changes.Step, changes.Prepared)
 	for _, evacuation := range changes.Evacuations {
 		events = d.applyEvacuation(events, evacuation)
 	}
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"errors"
 	"slices"
 
 	"gaugeyard/internal/settings"
@@ -39,44 +38,25 @@
 // SettingsVersion is the operators' version in force, 0 for none.
 func (d *Directory) SettingsVersion() uint64 { return d.settings.Version }
 
-// applySettings takes over a newer version of the settings; a faulty one is
-// refused and leaves the last good one in force.
-func (d *Directory) applySettings(events []Event, next *Settings) []Event {
-	if next == nil || next.Revision <= d.settings.Revision {
+// takeOver puts newer settings in force, prepared ones where they were prepared on those that
+// still are; faulty ones are refused and leave the last good ones in force.
+func (d *Directory) takeOver(events []Event, next *Settings, step *Step, prepared *Prepared) []Event {
+	if prepared == nil || prepared.base != d.settings.Revision {
+		prepared = d.Base().Prepare(next, step, func() {})
+	}
+	if prepared == nil {
 		return events
 	}
-	event := Event{Transition: SettingsApplied, Revision: next.Revision, Version: next.Version}
-	if faults := next.Tree.Validate(); len(faults) > 0 {
-		event.Transition, event.Err = SettingsRefused, faults[0]
+	event := Event{Transition: SettingsApplied, Revision: prepared.revision, Version: prepared.version}
+	if prepared.err != nil {
+		event.Transition, event.Err = SettingsRefused, prepared.err
 		return append(events, event)
 	}
-	if d.resolved != nil {
-		// Most of a new version is as it was before.
-		return d.applyStep(events, &Step{
-			Base: d.settings.Revision, Version: next.Version, Revision: next.Revision,
-			Changes: settings.Diff(d.settings.Tree, next.Tree),
-		})
-	}
-	d.settings = *next
-	d.resolved = settings.Resolve(next.Tree, next.Revision)
-	return append(events, event)
-}
-
-// applyStep takes over newer settings by what differs from those in force; faulty ones
-// are refused and leave the last good ones in force.
-func (d *Directory) applyStep(events []Event, step *Step) []Event {
-	event := Event{Transition: SettingsApplied, Revision: step.Revision, Version: step.Version}
-	tree, err := d.settings.Tree.With(step.Changes)
-	if err == nil {
-		err = errors.Join(tree.ValidateFrom(d.resolved, step.Changes)...)
-	}
-	if err != nil {
-		event.Transition, event.Err = SettingsRefused, err
-		return append(events, event)
+	d.settings = Settings{Version: prepared.version, Revision: prepared.revision, Tree: prepared.resolved.Tree}
+	d.resolved = prepared.resolved
+	if prepared.step != nil {
+		d.steps = append(d.steps, *prepared.step)
 	}
-	d.settings = Settings{Version: step.Version, Revision: step.Revision, Tree: tree}
-	d.resolved = settings.ResolveFrom(d.resolved, tree, step.Revision, step.Changes)
-	d.steps = append(d.steps, *step)
 	if len(d.steps) > maxSteps {
 		d.steps = slices.Delete(d.steps, 0, len(d.steps)-maxSteps)
 	}
--- a/internal/edge/answers.go
+++ b/internal/edge/answers.go
@@ -114,7 +114,7 @@
 			return nil, err
 		}
 	}
-	return answer, codec.Unmarshal(plain, answer)
+	return answer, codec.UnmarshalInPieces(plain, answer, pieceBytes, breathe)
 }
 
 // unpack returns what was compressed, at most maxPeerAnswer bytes of it.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -187,6 +187,7 @@
 // replace takes over a listing that the store confirmed age ago, and logs what changed.
 func (n *Node) replace(listing *directory.Listing, from string, age time.Duration) {
 	n.withDefaults(listing.Settings)
+	listing.Prepared = n.prepare(listing.Settings, nil)
 	n.beliefs.Lock()
 	first := n.directory.Revision() == 0
 	n.steerBy(n.directory.Replace(n.now(), listing), from, age)
@@ -202,6 +203,7 @@
 // apply takes over changes that the store confirmed age ago, and logs them.
 func (n *Node) apply(changes *directory.Changes, from string, age time.Duration) {
 	n.withDefaults(changes.Settings)
+	changes.Prepared = n.prepare(changes.Settings, changes.Step)
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
 	events := n.directory.Apply(n.now(), changes)
@@ -214,6 +216,7 @@
 func (n *Node) applyTold(answer *peerAnswer, asked question, from string) {
 	changes := answer.Changes
 	n.withDefaults(changes.Settings)
+	changes.Prepared = n.prepare(changes.Settings, changes.Step)
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
 	passedOn := n.question() == asked && changes.Settings == nil
--- /dev/null
+++ b/internal/settings/advance.go
@@ -0,0 +1,202 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// What parts of the work of Advance cost, in units of some 50 ns of a whole core; after
+// pieceWork of them it pauses. A core of which a process has a twentieth then takes 10 ms for
+// a piece, during which packets wait.
+const (
+	copyWork    = 1
+	nodeWork    = 8
+	serviceWork = 16
+	pieceWork   = 8000
+)
+
+// Advance returns what the changes lead to from previous, which stays as it is, or why they
+// are not allowed. It calls pause between pieces of its work, so that other work is done
+// meanwhile; what is in force changes in none of them. Equal to Tree.With, Tree.ValidateFrom
+// and ResolveFrom in this order.
+func Advance(previous *Snapshot, revision uint64, changes []Change, pause func()) (*Snapshot, error) {
+	if !previous.isFlat(changes) {
+		return advanceWhole(previous, revision, changes)
+	}
+	a := &advance{previous: previous, pause: pause, touched: make(map[Path]bool, len(changes)/2)}
+	if err := a.makeChanges(inOrderOfServices(changes)); err != nil {
+		return nil, err
+	}
+	a.next = newSnapshot(a.tree, revision, len(previous.Services)+len(a.services))
+	if err := a.resolve(); err != nil {
+		return nil, err
+	}
+	return a.next, nil
+}
+
+// isFlat tells whether services have nothing to do with each other, before the changes and after.
+func (s *Snapshot) isFlat(changes []Change) bool {
+	return len(s.Backends) == 0 && !s.references && !slices.ContainsFunc(changes, func(change Change) bool {
+		return change.Path == "" || change.Key == KeyBackendsFrom || change.Path.Level() >= LevelBackend
+	})
+}
+
+func advanceWhole(previous *Snapshot, revision uint64, changes []Change) (*Snapshot, error) {
+	tree, err := previous.Tree.With(changes)
+	if err != nil {
+		return nil, err
+	}
+	if faults := tree.ValidateFrom(previous, changes); len(faults) > 0 {
+		return nil, faults[0]
+	}
+	return ResolveFrom(previous, tree, revision, changes), nil
+}
+
+// inOrderOfServices returns the changes with those of one service together.
+func inOrderOfServices(changes []Change) []Change {
+	byService := func(a, b Change) int { return cmp.Compare(a.Path.Service(), b.Path.Service()) }
+	if slices.IsSortedFunc(changes, byService) {
+		return changes
+	}
+	ordered := slices.Clone(changes)
+	slices.SortStableFunc(ordered, byService)
+	return ordered
+}
+
+// advance is the work of Advance.
+type advance struct {
+	previous *Snapshot
+	pause    func()
+	// done counts the work since the last pause.
+	done int
+	tree Tree
+	// touched are the services that the changes touch; services are those in order.
+	touched  map[Path]bool
+	services []Path
+	// added has the groups of services that previous does not have.
+	added index
+	next  *Snapshot
+}
+
+// work counts work and pauses after a piece of it.
+func (a *advance) work(units int) {
+	if a.done += units; a.done >= pieceWork {
+		a.done = 0
+		a.pause()
+	}
+}
+
+// makeChanges makes the tree; changes are in order of services.
+func (a *advance) makeChanges(changes []Change) error {
+	a.tree = make(Tree, len(a.previous.Tree)+len(changes))
+	for path, values := range a.previous.Tree {
+		a.tree[path] = values
+		a.work(copyWork)
+	}
+	a.added.groups = make(map[Path][]Path, len(changes)/nodesPerService)
+	var shared sharedValues
+	var emptied []Path
+	for len(changes) > 0 {
+		path, count := changes[0].Path, 1
+		for count < len(changes) && changes[count].Path == path {
+			count++
+		}
+		empty, err := a.tree.change(path, changes[:count], &shared)
+		if err != nil {
+			return err
+		}
+		if empty {
+			emptied = append(emptied, path)
+		}
+		a.note(path)
+		a.work(nodeWork)
+		changes = changes[count:]
+	}
+	a.tree.prune(emptied)
+	return nil
+}
+
+// note enters a node that was changed.
+func (a *advance) note(path Path) {
+	service := path.Service()
+	if len(a.services) == 0 || a.services[len(a.services)-1] != service {
+		a.services = append(a.services, service)
+		a.touched[service] = true
+	}
+	if path.Level() == LevelGroup && !slices.Contains(a.added.groups[service], path) {
+		a.added.addGroup(path)
+	}
+}
+
+// resolve computes the services that were touched and takes over the others.
+func (a *advance) resolve() error {
+	groups := groupReader{tree: a.tree}
+	inherited := resolveService(a.tree, "", &Service{})
+	changed := a.indexOfChanged()
+	for _, service := range a.previous.Services {
+		if !a.touched[Path(service.Name)] {
+			a.next.addService(service)
+		}
+		a.work(copyWork)
+	}
+	kept := len(a.next.Services)
+	for _, path := range a.services {
+		if a.tree[path] == nil {
+			continue
+		}
+		from := &changed
+		if a.previous.Tree[path] == nil {
+			from = &a.added
+		}
+		service := a.next.resolve(from, &groups, path, inherited)
+		if err := a.next.mayAdd(service); err != nil {
+			return err
+		}
+		a.next.addService(service)
+		a.work(serviceWork)
+	}
+	a.next.Services = merged(a.next.Services[:kept], a.next.Services[kept:])
+	return nil
+}
+
+// indexOfChanged indexes the touched services that previous has; it walks through the whole
+// tree for them alone. The groups of the others are put in order.
+func (a *advance) indexOfChanged() index {
+	a.added.keep(func(path Path) bool { return a.tree[path] != nil })
+	a.added.sort()
+	known := map[Path]bool{}
+	for _, path := range a.services {
+		if a.previous.Tree[path] != nil {
+			known[path] = true
+		}
+	}
+	if len(known) == 0 {
+		return index{}
+	}
+	return a.tree.index(known)
+}
+
+// mayAdd returns what is wrong with a service that is to be added.
+func (s *Snapshot) mayAdd(service *Service) error {
+	if !service.Address.IsValid() {
+		return fmt.Errorf("%s: address is missing", service.Name)
+	}
+	if other := s.byAddress[service.Address]; other != nil {
+		return fmt.Errorf("%s: address=%q is also the address of %s", service.Name, service.Address, other.Name)
+	}
+	return nil
+}
+
+// merged returns two lists of services in order of name as one.
+func merged(a, b []*Service) []*Service {
+	all := make([]*Service, 0, len(a)+len(b))
+	for len(a) > 0 && len(b) > 0 {
+		if a[0].Name < b[0].Name {
+			all, a = append(all, a[0]), a[1:]
+		} else {
+			all, b = append(all, b[0]), b[1:]
+		}
+	}
+	return append(append(all, a...), b...)
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -186,6 +186,7 @@
 				}
 			}
 			changes := Diff(tree, next)
+			advanced, advanceErr := Advance(snapshot, uint64(step+2), changes, func() {})
 			got, err := tree.With(changes)
 			if err != nil {
 				t.Fatal(err)
@@ -194,6 +195,9 @@
 			if (len(all) > 0) != (len(some) > 0) {
 				t.Fatalf("after %v: %v by the whole tree, %v by the changes", changes, all, some)
 			}
+			if (len(all) > 0) != (advanceErr != nil) {
+				t.Fatalf("after %v: %v by the whole tree, %v in pieces", changes, all, advanceErr)
+			}
 			if len(all) > 0 {
 				continue
 			}
@@ -202,6 +206,9 @@
 			if !reflect.DeepEqual(snapshot, want) {
 				t.Fatalf("after %v:\n%+v\nwant\n%+v", changes, snapshot.Services, want.Services)
 			}
+			if !reflect.DeepEqual(advanced, want) {
+				t.Fatalf("after %v:\n%+v in pieces\nwant\n%+v", changes, advanced, want)
+			}
 		}
 	})
 }
