Settings: paths and addresses are read without copies

Cause: of 10 allocations that a route cost where all is read, 4 were copies: of the part of a path, of the path, and of an address that was in canonical form already.

--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -17,8 +17,9 @@
 	common  [][]setting
 	// left counts the elements that are still to be read.
 	left int
-	// given is the memory of a node's settings, reused.
+	// given is the memory of a node's settings, and text that of its path, reused.
 	given []setting
+	text  []byte
 }
 
 // decodeNodes reads nodes: begin is told how many elements there are, add each node with
@@ -138,11 +139,10 @@
 	if err != nil {
 		return "", err
 	}
-	rest, err := r.decoder.DecodeString()
+	path, err := r.readRest(before[:shared])
 	if err != nil {
 		return "", err
 	}
-	path := before[:shared] + Path(rest)
 	if parsed, err := ParsePath(string(path)); err != nil || parsed != path {
 		return "", fmt.Errorf("%q is not a path", path)
 	}
@@ -168,6 +168,24 @@
 	return path, nil
 }
 
+// readRest reads the part of a path that comes after what it shares with the one before.
+func (r *nodeReader) readRest(shared Path) (Path, error) {
+	length, err := r.decoder.DecodeBytesLen()
+	if err != nil {
+		return "", err
+	}
+	if length = max(length, 0); length > maxPath {
+		return "", fmt.Errorf("%w: a path of %d bytes", errMalformed, length)
+	}
+	r.text = append(r.text[:0], shared...)
+	r.text = slices.Grow(r.text, length)[:len(shared)+length]
+	err = r.decoder.ReadFull(r.text[len(shared):])
+	return Path(r.text), err
+}
+
+// maxPath is more than a path may have, in bytes.
+const maxPath = (maxNameLength + 1) * int(levelCount)
+
 // maxShared is how many lists of settings sharedValues looks through.
 const maxShared = 8
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -146,6 +146,11 @@
 	if address.Port() == 0 {
 		return "", fmt.Errorf("port 0")
 	}
+	var canonical [64]byte
+	if string(address.AppendTo(canonical[:0])) == text {
+		// Thousands are read at once, and most are in this form.
+		return text, nil
+	}
 	return address.String(), nil
 }
 
