Start: fewer collections until the settings are known

Cause: a process that starts has a heap of a few megabytes; decoding 1,440 routes allocates as much again several times over, and with 25% each megabyte is a collection.

Change: 100% until the settings are known, 25% from the next second on.

--- a/internal/edge/main.go
+++ b/internal/edge/main.go
@@ -23,9 +23,15 @@
 // signalQueue is how many signals may wait to be handled.
 const signalQueue = 4
 
-// gcPercent is how much the heap may grow between two collections. The process
-// allocates little, so that a small heap costs it little processor time.
-const gcPercent = 25
+const (
+	// gcPercent is how much the heap may grow between two collections. The process
+	// allocates little, so that a small heap costs it little processor time.
+	gcPercent = 25
+	// startGCPercent is that until the settings are known. Their decoding allocates several times
+	// what the heap of a process that starts has, and with a small one each megabyte is a collection:
+	// settings 0.56 s after a start in the median with 25, 0.45 s with 100 (0.045 of a core).
+	startGCPercent = 100
+)
 
 type arguments struct {
 	Settings string `arg:"--settings,env:GAUGEYARD_SETTINGS,required" help:"settings file of the process (YAML)"`
@@ -69,12 +75,13 @@
 // run serves until SIGTERM or an interrupt has led to the end of a planned stop.
 // A second one ends it at once; SIGHUP reads the settings file again.
 func run(path string, config Config, out, errOut io.Writer, adapt func(config *Config, rejected func(err error)) Adapter) int {
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(startGCPercent)
 	node, err := New(config, out)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitFailed
 	}
+	node.settle = func() { debug.SetGCPercent(gcPercent) }
 	node.adapter = adapt(&config, node.rejected)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -111,8 +111,10 @@
 	lastPacket atomic.Int64
 	// viewRevision is the revision that packets are steered by, for logs.
 	viewRevision atomic.Uint64
-	stop         chan struct{}
-	stopOnce     sync.Once
+	// settle is called once the settings are known, by the goroutine of tick; nil for nothing.
+	settle   func()
+	stop     chan struct{}
+	stopOnce sync.Once
 }
 
 // New opens the process's data socket and makes its parts.
@@ -226,6 +228,10 @@
 			return ctx.Err()
 		case <-ticker.C:
 			n.letTimePass()
+			if n.settle != nil && n.settingsKnown() {
+				n.settle()
+				n.settle = nil
+			}
 		}
 	}
 }
