Start: who knows the settings and has heard of nobody hurries too

Cause: after a loss of power five balancers with wide links had listed the store by 0.05 s after their start, and nobody heard of them for half a second: the one seed that the others ask came back later than they, and their next round was due 0.5 s after the one that announced what they know. All 70 others then learned from the seed, once it had listed itself.

Change: rounds stay quick for 10 s from the start while no other balancer has been heard, so that the seed can name those that know in its first answers.

--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -52,10 +52,10 @@
 	hello := n.hello(now)
 	n.shareLoad(now, hello)
 	interval, targets := peers.HelloInterval, []peers.Target(nil)
-	if knows {
-		targets = n.peers.Round(now, len(hello.Loads))
-	} else {
+	if n.peers.Hurries(now, knows) {
 		interval, targets = peers.HurryInterval, n.peers.HurryRound()
+	} else {
+		targets = n.peers.Round(now, len(hello.Loads))
 	}
 	n.beliefs.Unlock()
 	short := hello.Short()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -290,6 +290,24 @@
 	}
 }
 
+// TestOneThatKnowsAndHearsNobodyHurriesForAWhile: seeds may start later than all who look for them.
+func TestOneThatKnowsAndHearsNobodyHurriesForAWhile(t *testing.T) {
+	table := New(Introduction{Control: address(1), Zone: "a"})
+	table.Introduce(0, Introduction{Control: address(2)})
+	for _, c := range []struct {
+		now         time.Duration
+		knows, want bool
+	}{{0, false, true}, {time.Second, true, true}, {aloneTime, true, false}, {aloneTime, false, true}} {
+		if got := table.Hurries(c.now, c.knows); got != c.want {
+			t.Errorf("after %v, knowing %v: hurries %v", c.now, c.knows, got)
+		}
+	}
+	table.Heard(time.Second, hello(address(2), "a", 0))
+	if table.Hurries(time.Second, true) || !table.Hurries(time.Second, false) {
+		t.Error("one that has heard another one hurries, or one that knows nothing does not")
+	}
+}
+
 // TestChainsAreShortAndFewAskTheStore in a fleet of zones larger than the tables.
 func TestChainsAreShortAndFewAskTheStore(t *testing.T) {
 	const zones, perZone, fewest, longest = 6, 40, 4, 8
--- a/internal/peers/round.go
+++ b/internal/peers/round.go
@@ -16,6 +16,10 @@
 	// hurryTargets how many others a round then asks.
 	HurryInterval = 50 * time.Millisecond
 	hurryTargets  = 6
+	// aloneTime is for how long after its start a balancer that has heard of no other one hurries
+	// though it knows all: after a loss of power the seeds may start later, and whom they can name
+	// to those that know nothing, they must have heard of.
+	aloneTime = 10 * time.Second
 	// everyRound is the number of zone peers up to which each gets a hello in every
 	// round; more get one in every second.
 	everyRound = 12
@@ -124,7 +128,13 @@
 	return peer == nil || !peer.everHeard || now-peer.heard > replyAfter
 }
 
-// HurryRound returns whom a balancer that knows nothing asks in this round: some of the
+// Hurries tells whether the next round is one of those that follow each other quickly. now counts
+// from the balancer's start; knows is set once it knows the desired state.
+func (t *Table) Hurries(now time.Duration, knows bool) bool {
+	return !knows || now < aloneTime && len(t.Alive(now)) == 0
+}
+
+// HurryRound returns whom a balancer that knows nothing or nobody asks in this round: some of the
 // others, in turn.
 func (t *Table) HurryRound() []Target {
 	t.round++
