Steering: who is lost is decided by own evidence, and stale acknowledgements are no sign of life

(1) cutOff() counted servers that other balancers had lost as silent here, beside the few that one of 78 balancers hears from in half a second: after about seven losses every balancer held itself for cut off.

Change: cutOff() counts servers that leave own callers without a sign of life just now. An acknowledgement that comes with a request or the end of a flow, where nothing asked here was awaited, is none; one by itself is, since it is sent when the answer arrives.

--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -103,13 +103,15 @@
 	return max(lostCallers, int(math.Ceil(math.Log(lostByChance)/math.Log(vain))))
 }
 
-// cutOff tells whether as many back ends are silent here as show signs of life: then it may
-// well be this balancer that does not reach them.
+// cutOff tells whether as many back ends leave callers of this balancer without a sign of life just now
+// as show one: then it may well be this balancer that does not reach them. What others told is no sign
+// of that: with a quarter of 120 back ends silent at once, those that others had lost soon outnumbered
+// the few that one of 78 balancers hears from in half a second, and it lost none of the rest.
 func (s *Steerer) cutOff(now time.Duration) bool {
 	silent, lively := 0, 0
 	for _, b := range s.backends {
 		switch {
-		case len(b.stalled) > 0 || now < b.lostUntil:
+		case b.freshStall(now):
 			silent++
 		case now-b.progress < livelyTime:
 			lively++
--- a/internal/steering/record.go
+++ b/internal/steering/record.go
@@ -113,10 +113,22 @@
 	}
 	if advanced(packet.Acknowledged, r.acknowledged) {
 		r.acknowledged = packet.Acknowledged
+		if r.answeredElsewhere(packet) {
+			r.giveUp()
+			return
+		}
 		r.answered(now)
 	}
 }
 
+// answeredElsewhere tells whether what the caller has received since its last packet here came while its
+// flow passed through another balancer, at a time that is not known: it asks again or ends the flow, and
+// nothing that it asked here was awaited, or not for longer than it takes. That is no sign of life: the
+// packet may itself be one that a back end which has fallen silent since will never answer.
+func (r *record) answeredElsewhere(packet *Packet) bool {
+	return (packet.Payload > 0 || packet.Kind != Established) && (!r.waiting || r.unanswered)
+}
+
 // sent learns from a packet what the caller sends. It tells whether the caller has sent data again
 // because the back end is silent.
 func (r *record) sent(now time.Duration, packet *Packet) (stalled bool) {
