Steering: flows that rest at a lost back end end, and a start at an address proves an end

Two seconds after a loss callers tried the server again, though another one had started at its address by then.

Change: once a loss, flows of services whose requests may run once are ended while they rest, so that the next request opens a new flow; the evidence is that on which flows of callers that wait are ended elsewhere. A server whose entry is gone and at whose address another start announced itself later has ended for certain: all flows there are ended, also those whose callers wait, and what is sent there later is refused ("back end ended" in the log). The proof is a function of the view; the directory keeps the revision at which a departed server last wrote its entry, so that an earlier start whose entry lingers proves nothing.

--- a/internal/directory/build.go
+++ b/internal/directory/build.go
@@ -25,10 +25,10 @@
 // member returns a back end as views hold it, nil for one that is not believed in.
 func (d *Directory) member(id settings.BackendID) *Member {
 	if known, live := d.live[id]; live {
-		return &Member{Backend: known.Backend, Tag: TagOf(id), ColdUntil: known.coldUntil, Evacuated: d.evacuated(&known.Backend)}
+		return &Member{Backend: known.Backend, Tag: TagOf(id), ColdUntil: known.coldUntil, Announced: known.Revision, Evacuated: d.evacuated(&known.Backend)}
 	}
 	if left, gone := d.gone[id]; gone {
-		return &Member{Backend: left.Backend, Tag: TagOf(id), Gone: true, GoneAt: left.at, Evacuated: d.evacuated(&left.Backend)}
+		return &Member{Backend: left.Backend, Tag: TagOf(id), Gone: true, GoneAt: left.at, Announced: left.announced, Evacuated: d.evacuated(&left.Backend)}
 	}
 	return nil
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -131,6 +131,8 @@
 type departed struct {
 	Record
 	at time.Duration
+	// announced is the revision at which it last wrote its entry, or a later one.
+	announced uint64
 }
 
 // Directory is what this balancer believes. It is not safe for concurrent use;
@@ -258,7 +260,7 @@
 	}
 	d.changed[gone.ID] = true
 	delete(d.live, gone.ID)
-	d.gone[gone.ID] = departed{Record{known.Backend, gone.Revision}, now}
+	d.gone[gone.ID] = departed{Record{known.Backend, gone.Revision}, now, known.Revision}
 	return append(events, Event{Transition: BackendGone, Backend: known.Backend, Revision: gone.Revision})
 }
 
@@ -269,7 +271,7 @@
 	}
 	if _, known := d.gone[record.Backend.ID]; !known {
 		d.changed[record.Backend.ID] = true
-		d.gone[record.Backend.ID] = departed{record, now}
+		d.gone[record.Backend.ID] = departed{record, now, record.Revision}
 	}
 }
 
--- /dev/null
+++ b/internal/directory/reuse_test.go
@@ -0,0 +1,64 @@
+package directory
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gaugeyard/internal/settings"
+)
+
+// TestAStartAtAnAddressProvesThatTheOneBeforeEnded, once the entry of that one is gone.
+func TestAStartAtAnAddressProvesThatTheOneBeforeEnded(t *testing.T) {
+	const before, after = 1, 2
+	entry := func(id settings.BackendID, revision uint64, group string, host byte) *Changes {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, host}), 80)
+		return &Changes{Revision: revision, Records: []Record{{Backend{ID: id, Group: group, Zone: "a", Address: address, Slots: 1}, revision}}}
+	}
+	gone := func(id settings.BackendID, revision uint64) *Changes {
+		return &Changes{Revision: revision, Gone: []Gone{{id, revision}}}
+	}
+	for name, test := range map[string]struct {
+		changes []*Changes
+		want    bool
+	}{
+		"its entry lapsed, then another service starts there": {[]*Changes{entry(before, 1, "a", 1), gone(before, 2), entry(after, 3, "b", 1)}, true},
+		"the same service starts there":                       {[]*Changes{entry(before, 1, "a", 1), gone(before, 2), entry(after, 3, "a", 1)}, true},
+		"the entry lapses after the start":                    {[]*Changes{entry(before, 1, "a", 1), entry(after, 2, "b", 1), gone(before, 3)}, true},
+		"its entry is there still":                            {[]*Changes{entry(before, 1, "a", 1), entry(after, 2, "b", 1)}, false},
+		"nobody starts there":                                 {[]*Changes{entry(before, 1, "a", 1), gone(before, 2)}, false},
+		"one starts elsewhere":                                {[]*Changes{entry(before, 1, "a", 1), gone(before, 2), entry(after, 3, "a", 2)}, false},
+		"the start has ended as well":                         {[]*Changes{entry(before, 1, "a", 1), gone(before, 2), entry(after, 3, "b", 1), gone(after, 4)}, false},
+		"the other one was there earlier, and lingers":        {[]*Changes{entry(after, 1, "a", 1), entry(before, 2, "a", 1), gone(before, 3)}, false},
+		"its entry comes back":                                {[]*Changes{entry(before, 1, "a", 1), gone(before, 2), entry(after, 3, "b", 1), entry(before, 4, "a", 1)}, false},
+	} {
+		d := New(time.Minute)
+		for _, changes := range test.changes {
+			d.Apply(0, changes)
+		}
+		replaced := d.View().Replaced([]settings.BackendID{before, 77})
+		if got := slices.Equal(replaced, []settings.BackendID{before}); got != test.want || !got && len(replaced) > 0 {
+			t.Errorf("%s: %v has ended", name, replaced)
+		}
+	}
+}
+
+// TestOneThatIsHeardOfAsGoneIsNotReplacedByEarlierEntries: when it last announced itself is not known.
+func TestOneThatIsHeardOfAsGoneIsNotReplacedByEarlierEntries(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	for _, test := range []struct {
+		revision uint64
+		want     int
+	}{{3, 0}, {9, 1}} {
+		d := New(time.Minute)
+		d.Replace(0, &Listing{
+			Revision: 10,
+			Records:  []Record{{Backend{ID: 2, Group: "b", Address: address}, test.revision}},
+			Departed: []Record{{Backend{ID: 1, Group: "a", Address: address}, 5}},
+		})
+		if replaced := d.View().Replaced([]settings.BackendID{1}); len(replaced) != test.want {
+			t.Errorf("gone at revision 5, another entry of %d: %v has ended", test.revision, replaced)
+		}
+	}
+}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -28,6 +28,9 @@
 	// Gone is set once the entry vanished; GoneAt is when that was learned.
 	Gone   bool
 	GoneAt time.Duration
+	// Announced is the store's revision at which it last wrote its entry; of one that is gone, that or a
+	// later one.
+	Announced uint64
 	// Evacuated is set while the back end's zone takes no new flow.
 	Evacuated bool
 }
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -36,6 +36,7 @@
 	{"weights", "a route is split 90 to 10 between two services", (*world).weights},
 	{"server-crash", "a third of the feed servers crash", func(w *world) { w.crashServers(false) }},
 	{"address-reuse", "servers crash and their addresses go to the other service", func(w *world) { w.crashServers(true) }},
+	{"address-reuse-cut", "the same while half of the balancers are cut off from the store and each other", both((*world).cutHalfWhileAddressesGo, func(w *world) { w.crashServers(true) })},
 	{"servers-hang", "a third of the feed servers stand still", (*world).hangServers},
 	{"servers-slow", "a third of the feed servers are five times slower", (*world).slowServers},
 	{"servers-grey-reset", "a third of the feed servers reset two in five requests, and are well by all else", greyServers(failReset)},
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -45,6 +45,8 @@
 	Suspected Observation = "back end suspected"
 	// Lost back ends answer nobody any more; flows that can be repeated elsewhere are reset.
 	Lost Observation = "back end lost"
+	// Ended back ends are gone for certain: another one started at the address.
+	Ended Observation = "back end ended"
 	// Faulty back ends take new flows and leave requests unanswered.
 	Faulty Observation = "back end leaves requests unanswered"
 	// OutOfRotation back ends failed so many requests, through all balancers, that new flows avoid
@@ -129,6 +131,10 @@
 	stalledAt time.Duration
 	stalls    []heardStall
 	lostUntil time.Duration
+	// ended is set once it is certain that the back end has ended, and restingUntil ends the time in
+	// which the flows that rest there were ended for the present loss.
+	ended        bool
+	restingUntil time.Duration
 	// suspectUntil ends the present suspicion; suspicion is how long it was.
 	suspectUntil, suspicion time.Duration
 }
--- a/internal/steering/established.go
+++ b/internal/steering/established.go
@@ -70,7 +70,7 @@
 	if known.sent(now, packet) {
 		s.noteStall(now, known)
 		if s.lost(now, known.backend) {
-			s.resetWaiting(known.backend)
+			s.endFlows(now, known.backend)
 		}
 	}
 	if known.waiting {
--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -66,7 +66,7 @@
 // lost tells whether a back end does not answer anyone any more: several callers have sent
 // data again in vain, here and at other balancers, and none of them saw a sign of life.
 func (s *Steerer) lost(now time.Duration, b *backendState) bool {
-	if now < b.lostUntil {
+	if b.ended || now < b.lostUntil {
 		return true
 	}
 	if len(b.stalled) == 0 && len(b.stalls) == 0 || now-b.progress < lostSilence {
@@ -120,17 +120,6 @@
 	return silent >= lively
 }
 
-// resetWaiting ends the flows at a lost back end whose callers await an answer and may ask again.
-func (s *Steerer) resetWaiting(b *backendState) {
-	for _, known := range s.awaited.records {
-		if known.backend != b || !known.waiting || known.closed || !s.repeatable(known.key) {
-			continue
-		}
-		s.resets = append(s.resets, Reset{known.key, known.acknowledged, b.id})
-		s.forget(known)
-	}
-}
-
 // TakeResets returns the flows that were ended since the last call, mostly none.
 func (s *Steerer) TakeResets() []Reset {
 	if len(s.resets) == 0 {
@@ -151,7 +140,8 @@
 }
 
 // givesUp tells whether a request on an established flow is refused, so that its caller asks
-// elsewhere: its back end is lost, and it may run again there. Whether it ran is not known.
+// elsewhere: its back end is lost, and it may run again there, or it has ended and nobody will
+// answer. Whether it ran is not known.
 func (s *Steerer) givesUp(now time.Duration, b *backendState, packet *Packet) bool {
-	return packet.Kind == Established && packet.Payload > 0 && s.lost(now, b) && s.repeatable(packet.Flow)
+	return packet.Kind == Established && packet.Payload > 0 && s.lost(now, b) && (b.ended || s.repeatable(packet.Flow))
 }
--- a/internal/steering/stalls.go
+++ b/internal/steering/stalls.go
@@ -94,7 +94,7 @@
 			s.raise(now)
 		}
 		if s.lost(now, b) {
-			s.resetWaiting(b)
+			s.endFlows(now, b)
 		}
 	}
 }
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -119,6 +119,7 @@
 			delete(s.backends, id)
 		}
 	}
+	s.noteEnded()
 }
 
 // TakeEvents returns the observations since the last call, mostly none.
