Split routes: a part that can take no flow gives its turn to the others

Cause: chooseGroup kept to the part furthest below its share and refused, or fell back on silent back ends, where that part had none, though the other one had room; all balancers began alike, so that the smaller part lacked the first flows of each; and after an outage or a shift the part was owed what it had missed, and got all new flows.

A copy stays in its part while that is able. Weight 0 takes no copy either. What a failing answer looks like is learned by part. Verdict, log line, explain and a counter tell the part and why.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/steering"
 )
 
 // processMetrics are the numbers that the process exposes as text.
@@ -21,6 +22,7 @@
 	peerCalls, peerMalformed   *metrics.Counter
 	helloBytes, answerBytes    *metrics.Counter
 	refused, dropped           map[errkind.Kind]*metrics.Counter
+	byPart                     map[steering.PartReason]*metrics.Counter
 	handling                   *metrics.Histogram
 }
 
@@ -47,12 +49,16 @@
 		peerMalformed: set.NewCounter("gaugeyard_peer_datagrams_malformed_total"),
 		refused:       map[errkind.Kind]*metrics.Counter{},
 		dropped:       map[errkind.Kind]*metrics.Counter{},
+		byPart:        map[steering.PartReason]*metrics.Counter{},
 		handling:      set.NewHistogram("gaugeyard_packet_handling_seconds"),
 	}
 	for _, kind := range errkind.All() {
 		m.refused[kind] = set.NewCounter(fmt.Sprintf("gaugeyard_flows_refused_total{reason=%q}", kind))
 		m.dropped[kind] = set.NewCounter(fmt.Sprintf("gaugeyard_packets_dropped_total{reason=%q}", kind))
 	}
+	for _, reason := range steering.PartReasons() {
+		m.byPart[reason] = set.NewCounter(fmt.Sprintf("gaugeyard_flows_by_part_total{reason=%q}", reason))
+	}
 	set.NewGauge("gaugeyard_flows", func() float64 {
 		n.steering.Lock()
 		defer n.steering.Unlock()
--- a/internal/edge/verdict.go
+++ b/internal/edge/verdict.go
@@ -33,6 +33,7 @@
 		if verdict.Spilled {
 			n.metrics.spilled.Inc()
 		}
+		n.metrics.byPart[verdict.PartReason].Inc()
 		n.logPlacement(packet, verdict)
 	}
 }
@@ -40,6 +41,7 @@
 func (n *Node) logPlacement(packet *steering.Packet, verdict *steering.Verdict) {
 	n.logFlow(&n.placedLines, "flow placed", "caller", packet.Flow.Caller, "service", packet.Flow.Service, "attempt", packet.Attempt,
 		"backend", backendName(verdict.Backend.ID), "address", verdict.Backend.Address, "spilled", verdict.Spilled,
+		"part", string(verdict.Part.Path), "part_reason", verdict.PartReason.String(),
 		"load", round(verdict.Load), "mean", round(verdict.Mean), "candidates", verdict.Candidates, "revision", n.viewRevision.Load())
 }
 
--- a/internal/emulator/observer.go
+++ b/internal/emulator/observer.go
@@ -226,7 +226,7 @@
 // ran judges that a request that may not be repeated runs once.
 func (o *observer) ran(s *server, r *request) {
 	o.checks[ruleTwice]++
-	if r.kind == lookup && o.world.Now > weightsSettled {
+	if r.kind == lookup && o.world.Now > o.world.sharesFrom {
 		o.lookupsAt[s.service]++
 	}
 	if r.kind != stream && r.runs > 1 {
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -12,6 +12,8 @@
 const (
 	serviceFeed   = "feed"
 	serviceUpload = "ingest"
+	// servicePart is the smaller part of a split route, and serves nothing else.
+	servicePart = "canary"
 )
 
 // Sizes of each zone's load and servers.
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -23,9 +23,11 @@
 	Busiest float64 `json:"busiest_over_mean"`
 	// Spread is the standard deviation of the same numbers over their mean.
 	Spread float64 `json:"spread_over_mean"`
-	// SmallShare is the part of lookups that ran at the smaller group of "weights".
+	// SmallShare is the part of lookups that ran at the smaller group of a split route.
 	SmallShare float64 `json:"small_share"`
-	StoreCalls int     `json:"store_calls"`
+	// LookupsInAim is the part of lookups answered within their aim.
+	LookupsInAim float64 `json:"lookups_in_aim"`
+	StoreCalls   int     `json:"store_calls"`
 	// HellosPerSecond is how many hellos a balancer sends, the mean.
 	HellosPerSecond float64 `json:"hellos_per_second"`
 	// HelloBytesPerSecond is about what they have in all.
@@ -75,8 +77,14 @@
 	}
 	result.HellosPerSecond = float64(w.hellos) / float64(len(w.nodes)) / w.Now.Seconds()
 	result.HelloBytesPerSecond = float64(w.helloBytes) / float64(len(w.nodes)) / w.Now.Seconds()
-	inAimCount, served := 0, 0
+	inAimCount, served, lookups, lookupsInAim := 0, 0, 0, 0
 	for _, r := range w.truth.requests {
+		if r.kind == lookup {
+			lookups++
+			if r.outcome == inAim {
+				lookupsInAim++
+			}
+		}
 		switch r.outcome {
 		case inAim:
 			inAimCount++
@@ -91,6 +99,7 @@
 	result.Served = float64(served) / float64(len(w.truth.requests))
 	result.Busiest, result.Spread = w.evenness()
 	result.SmallShare = w.smallShare()
+	result.LookupsInAim = float64(lookupsInAim) / float64(max(1, lookups))
 	return result
 }
 
@@ -114,8 +123,8 @@
 // smallShare measures what part of the lookups after the change of weights went to the smaller
 // group.
 func (w *world) smallShare() float64 {
-	total := w.truth.lookupsAt[serviceFeed] + w.truth.lookupsAt[serviceUpload]
-	return float64(w.truth.lookupsAt[serviceUpload]) / float64(max(1, total))
+	small := w.truth.lookupsAt[serviceUpload] + w.truth.lookupsAt[servicePart]
+	return float64(small) / float64(max(1, small+w.truth.lookupsAt[serviceFeed]))
 }
 
 // balancerIP is the address of an added balancer.
@@ -123,5 +132,5 @@
 	return netip.AddrFrom4([4]byte{10, byte(zone + 1), 0, byte(number)})
 }
 
-// weightsSettled is when the weights of scenario "weights" are judged from.
+// weightsSettled is when weights are judged from, unless a scenario says otherwise.
 const weightsSettled = troubleStart + 5*time.Second
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -137,6 +137,8 @@
 	varied bool
 	// coldTime is how long servers warm up.
 	coldTime time.Duration
+	// sharesFrom is when the shares of a split route are judged from.
+	sharesFrom time.Duration
 	// lostAnswers is the part of servers' first answers to opening packets that are lost.
 	lostAnswers float64
 }
@@ -161,7 +163,7 @@
 		servers:  map[netip.AddrPort]*server{},
 		clients:  map[flow.Key]*clientFlow{},
 		loss:     lossShare,
-		coldTime: usualColdTime,
+		coldTime: usualColdTime, sharesFrom: weightsSettled,
 	}
 	w.truth = newObserver(w)
 	w.store = newStore(w)
--- a/internal/logs/explain/explain.go
+++ b/internal/logs/explain/explain.go
@@ -182,6 +182,7 @@
 		name, value string
 	}{
 		{"backend", line.Backend}, {"before", line.Before}, {"service", line.Service}, {"reason", line.Reason},
+		{"part", line.Part}, {"part_reason", line.PartReason},
 		{"from", line.From}, {"version", number(line.Version)}, {"revision", number(line.Revision)},
 		{"silent_ms", number(uint64(max(0, line.SilentMs)))}, {"age_ms", number(uint64(max(0, line.AgeMs)))},
 	} {
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -64,8 +64,12 @@
 	Mean       float64 `json:"mean,omitempty"`
 	Candidates int     `json:"candidates,omitempty"`
 	Spilled    bool    `json:"spilled,omitempty"`
-	Attempt    int     `json:"attempt,omitempty"`
-	Count      int     `json:"count,omitempty"`
+	// Part is the part of its service that a flow went to, and PartReason why: "turn" or "only", or what
+	// kept the part from it whose turn it was.
+	Part       string `json:"part,omitempty"`
+	PartReason string `json:"part_reason,omitempty"`
+	Attempt    int    `json:"attempt,omitempty"`
+	Count      int    `json:"count,omitempty"`
 }
 
 // Messages that readers of logs look for; package edge writes them.
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -1,7 +1,6 @@
 package steering
 
 import (
-	"math"
 	"time"
 
 	"gaugeyard/internal/directory"
@@ -12,51 +11,8 @@
 	// loadSlack is how much load above the bound is no reason to leave the zone,
 	// in requests a slot: single requests do not count.
 	loadSlack = 1.5
-	// forgetCount is the decayed number of requests below which a group is forgotten.
-	forgetCount = 0.01
-	// groupDecay is what of a group's count is left after a second.
-	groupDecay = 0.97
 )
 
-// groupKey names a group of a service.
-type groupKey struct {
-	service settings.Path
-	group   settings.Path
-}
-
-// groupState counts how much work a group of a service was given lately.
-type groupState struct {
-	count float64
-}
-
-func (g *groupState) decay() {
-	g.count *= groupDecay
-}
-
-// chooseGroup returns the group that is furthest below its share of the service's
-// work. It follows the shares far more closely than chance would.
-func (s *Steerer) chooseGroup(service *settings.Service) (*settings.Group, *groupState) {
-	var best *settings.Group
-	var bestState *groupState
-	bestLoad := math.Inf(1)
-	for i := range service.Groups {
-		group := &service.Groups[i]
-		if group.Share <= 0 {
-			continue
-		}
-		key := groupKey{settings.Path(service.Name), group.Path}
-		state := s.groups[key]
-		if state == nil {
-			state = &groupState{}
-			s.groups[key] = state
-		}
-		if load := (state.count + 1) / group.Share; load < bestLoad {
-			best, bestState, bestLoad = group, state, load
-		}
-	}
-	return best, bestState
-}
-
 // candidate is a back end that may take a new flow, with what the scorers found of it.
 type candidate struct {
 	member *directory.Member
@@ -80,47 +36,119 @@
 	trial bool
 }
 
-// choice is the result of choose.
+// choice is the result of choose; member is nil where no back end may take the flow.
 type choice struct {
-	member  *directory.Member
+	member *directory.Member
+	part   *part
+	// turn is the part whose turn it was, and reason why the flow went to the other one.
+	turn    *part
+	reason  PartReason
 	spilled bool
 	load    float64
 	trial   bool
 }
 
-// choose picks the back end of a new flow among those of the group: the one with
-// the least work in the own zone, unless even that has more than the load factor
-// allows above the mean of all zones. Where back ends are equal the flow's hash
-// decides, so that balancers that know nothing yet agree and do not crowd one.
-func (s *Steerer) choose(now time.Duration, hash uint64, group *settings.Group, service *settings.Service, avoid *backendState) choice {
-	s.placing = placing{now: now, hash: hash, pool: s.view.Pool(group.Discover), limit: s.warmUpOf(group), avoid: avoid}
-	for tier := range tiers {
-		if s.gather(tier) {
-			break
+// round is one pass over the parts of a service: a tier of their back ends, and whether a part whose
+// back ends are all busy or fail is passed over while another one is not.
+type round struct {
+	tier  int
+	spare bool
+}
+
+// rounds are in order of preference. A service with one part skips the first.
+var rounds = []round{{0, true}, {0, false}, {1, false}, {2, false}}
+
+// choose picks the back end of a new flow. The part whose turn it is goes first, and another one where it
+// can take none. A flow that leaves an earlier place has had its turn.
+func (s *Steerer) choose(now time.Duration, hash uint64, service *settings.Service, left *record) choice {
+	var avoid *backendState
+	var had *part
+	if left != nil {
+		avoid, had = left.backend, left.turn
+	}
+	parts := s.split(service, hash).turn(had)
+	reason, usual := PartTurn, PartTurn
+	if len(parts) < 2 {
+		usual = PartOnly
+	}
+	for i, round := range rounds {
+		if len(parts) < 2 && round.spare {
+			continue
+		}
+		for _, p := range parts {
+			s.placing = placing{now: now, hash: hash, pool: s.view.Pool(p.group.Discover), limit: s.warmUpOf(p.group), avoid: avoid}
+			able, why := s.weigh(round)
+			if able {
+				if p == parts[0] {
+					reason = usual
+				}
+				picked := s.pick(p, service)
+				picked.turn, picked.reason = parts[0], reason
+				return picked
+			}
+			if i == 0 && p == parts[0] {
+				reason = why
+			}
 		}
 	}
+	return choice{}
+}
+
+// weigh gathers and scores candidates, and tells whether they can take the flow, or why not.
+func (s *Steerer) weigh(round round) (able bool, why PartReason) {
+	if !s.gather(round.tier) {
+		return false, s.whyNone()
+	}
 	s.score()
-	return s.pick(group, service)
+	if !round.spare {
+		return true, PartTurn
+	}
+	out, full := true, true
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		out = out && c.state.out
+		full = full && c.full()
+	}
+	switch {
+	case out:
+		return false, PartOut
+	case full:
+		return false, PartFull
+	}
+	return true, PartTurn
 }
 
-// pick returns the best of the candidates, which were scored.
-func (s *Steerer) pick(group *settings.Group, service *settings.Service) choice {
+// whyNone tells why a part has no candidate.
+func (s *Steerer) whyNone() PartReason {
+	p := &s.placing
+	if len(p.pool.Open) == 0 {
+		return PartEmpty
+	}
+	for _, member := range p.pool.Open {
+		if s.withholds(p.now, p.limit, member, s.stateOf(member)) {
+			return PartCold
+		}
+	}
+	return PartDark
+}
+
+// pick returns the best of the candidates, which were scored: the one with the least work in the own
+// zone, unless even that has more than the load factor allows above the mean of all zones. Where back
+// ends are equal the flow's hash decides, so that balancers that know nothing yet agree and do not
+// crowd one.
+func (s *Steerer) pick(p *part, service *settings.Service) choice {
 	usual := s.placing.usual
-	known := s.poolOf(group.Discover)
+	known := s.poolOf(p.group.Discover)
 	known.usual = usual
 	turn := known.turn
 	known.turn++
 	local := s.best(usual, true, turn)
 	remote := s.best(usual, false, turn)
-	switch {
-	case local == nil && remote == nil:
-		return choice{}
-	case local == nil:
-		return choice{remote.member, true, remote.load, remote.trial}
-	case remote != nil && remote.load < local.load && s.leavesZone(local, remote, service):
-		return choice{remote.member, true, remote.load, remote.trial}
-	}
-	return choice{member: local.member, load: local.load, trial: local.trial}
+	best, spilled := local, false
+	if local == nil || remote != nil && remote.load < local.load && s.leavesZone(local, remote, service) {
+		best, spilled = remote, true
+	}
+	return choice{member: best.member, part: p, spilled: spilled, load: best.load, trial: best.trial}
 }
 
 // leavesZone tells whether a new flow is better off in another zone: the own one has
--- a/internal/steering/outlier.go
+++ b/internal/steering/outlier.go
@@ -89,7 +89,27 @@
 	q.value *= 1 - quantileStep*(1-part)
 }
 
-// answerShape is what the answers at one address of a service look like.
+// shapeKey names what is learned of together: the answers at an address of a service and, where the service
+// is split, of one part. The part with less weight may answer differently, being another version or another
+// service, and must not be taken for failing by what the larger one does.
+type shapeKey struct {
+	service netip.AddrPort
+	part    string
+}
+
+// shapeKeyOf returns under which key a flow's answers are learned of.
+func (s *Steerer) shapeKeyOf(known *record) shapeKey {
+	key := shapeKey{service: known.key.Service}
+	if s.view.Settings == nil {
+		return key
+	}
+	if service := s.view.Settings.ServiceAt(key.service); service != nil && len(service.Groups) > 1 {
+		key.part = known.member.Group
+	}
+	return key
+}
+
+// answerShape is what answers under one key look like.
 type answerShape struct {
 	// length is the lower quartile of their lengths in bytes, time the median time in seconds.
 	length, time quantile
@@ -142,16 +162,16 @@
 const usualUnit = 1e-5
 
 // Shapes returns what this balancer knows of answers: of the addresses with the most answers, at
-// most count.
+// most count. Parts of split services are not told.
 func (s *Steerer) Shapes(count int) []Shape {
 	var shapes []Shape
-	for service, shape := range s.shapes {
-		if shape.length.count >= knownShape {
-			shapes = append(shapes, Shape{service, uint32(shape.length.value), time.Duration(shape.time.value * float64(time.Second)), uint32(shape.usual() / usualUnit)})
+	for key, shape := range s.shapes {
+		if key.part == "" && shape.length.count >= knownShape {
+			shapes = append(shapes, Shape{key.service, uint32(shape.length.value), time.Duration(shape.time.value * float64(time.Second)), uint32(shape.usual() / usualUnit)})
 		}
 	}
 	slices.SortFunc(shapes, func(a, b Shape) int {
-		return cmp.Or(cmp.Compare(s.shapes[b.Service].length.count, s.shapes[a.Service].length.count), a.Service.Compare(b.Service))
+		return cmp.Or(cmp.Compare(s.shapes[shapeKey{service: b.Service}].length.count, s.shapes[shapeKey{service: a.Service}].length.count), a.Service.Compare(b.Service))
 	})
 	return shapes[:min(count, len(shapes))]
 }
@@ -163,7 +183,7 @@
 		if told.Length == 0 || told.Time <= 0 || !told.Service.IsValid() {
 			continue
 		}
-		shape := s.shapeOf(told.Service)
+		shape := s.shapeOf(shapeKey{service: told.Service})
 		if shape.length.count < knownShape {
 			shape.length = quantile{float64(told.Length), knownShape}
 			shape.time = quantile{told.Time.Seconds(), knownShape}
@@ -172,15 +192,15 @@
 	}
 }
 
-// shapeOf returns what is known of the answers at an address; of more than maxShapes it begins anew.
-func (s *Steerer) shapeOf(service netip.AddrPort) *answerShape {
-	shape := s.shapes[service]
+// shapeOf returns what is known of the answers under a key; of more than maxShapes it begins anew.
+func (s *Steerer) shapeOf(key shapeKey) *answerShape {
+	shape := s.shapes[key]
 	if shape == nil {
 		if len(s.shapes) >= maxShapes {
 			clear(s.shapes)
 		}
 		shape = &answerShape{}
-		s.shapes[service] = shape
+		s.shapes[key] = shape
 	}
 	return shape
 }
@@ -191,7 +211,7 @@
 	if s.config.Mechanisms.NoOutliers || known.member.ColdUntil > now {
 		return
 	}
-	evidence := s.shapeOf(known.key.Service).add(known.acknowledged-known.askedFrom, known.answerTime)
+	evidence := s.shapeOf(s.shapeKeyOf(known)).add(known.acknowledged-known.askedFrom, known.answerTime)
 	known.answerTime = 0
 	b := known.backend
 	b.failing = min(max(b.failing+evidence, 0), mostEvidence)
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -47,6 +47,7 @@
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/errkind"
 	"gaugeyard/internal/flow"
+	"gaugeyard/internal/settings"
 )
 
 // Kind says what a caller's packet does to its flow.
@@ -121,4 +122,7 @@
 	Repinned bool
 	// Spilled is set when the flow was placed in another zone.
 	Spilled bool
+	// Part is the group that the flow went to, and PartReason why; set when Placed.
+	Part       *settings.Group
+	PartReason PartReason
 }
--- /dev/null
+++ b/internal/steering/parts_test.go
@@ -0,0 +1,248 @@
+package steering
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/settings"
+)
+
+// TestSharesHoldOverTheFleet where each of 70 balancers sees a handful of flows, and follow a new weight at once.
+func TestSharesHoldOverTheFleet(t *testing.T) {
+	// 350 flows alone lie up to 0.03 off by where the balancers begin.
+	within := map[int]float64{5: 0.03, 20: 0.02, 200: 0.02}
+	for _, flows := range []int{5, 20, 200} {
+		for _, small := range []float64{0.5, 0.1, 0.05} {
+			t.Run(fmt.Sprintf("%d flows, %v", flows, small), func(t *testing.T) {
+				splits := make([]*split, 70)
+				for i := range splits {
+					splits[i] = newSplit(key(i, splitAddress).Hash())
+				}
+				for _, share := range []float64{small, 1 - small, small} {
+					service := &settings.Service{Groups: []settings.Group{{Path: "a", Share: 1 - share}, {Path: "b", Share: share}, {Path: "c"}}}
+					taken := 0
+					for _, s := range splits {
+						s.take(service)
+						for range flows {
+							p := s.turn(nil)[0]
+							p.count++
+							if p.group.Path == "b" {
+								taken++
+							}
+						}
+					}
+					if got := float64(taken) / float64(70*flows); math.Abs(got-share) > within[flows] {
+						t.Errorf("the part with %v has %.3f", share, got)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestFlowsThatAskMoreOftenCorrectTheShares a little, never by more than mostCorrection.
+func TestFlowsThatAskMoreOftenCorrectTheShares(t *testing.T) {
+	s := newSplit(0)
+	s.take(&settings.Service{Groups: []settings.Group{{Path: "a", Share: 1}, {Path: "b", Share: 1}}})
+	flows := 0.0
+	for range 2000 {
+		p := s.turn(nil)[0]
+		p.count++
+		if p.group.Path == "a" {
+			p.count += 9
+			flows++
+		}
+	}
+	if got := flows / 2000; got > 0.5-mostCorrection+0.01 || got < 0.5-mostCorrection-0.01 {
+		t.Errorf("the part whose flows ask ten times as often has %.3f of the flows", got)
+	}
+}
+
+// partsOf counts to which part of the split service count flows go that open and rest, by reason.
+func (f *fleet) partsOf(first, count int) map[string]int {
+	f.Helper()
+	counts := map[string]int{}
+	for caller := first; caller < first+count; caller++ {
+		verdict := f.open(caller, splitAddress, 0)
+		if verdict.Action != Forward {
+			counts[verdict.Reason.String()]++
+			continue
+		}
+		f.established(caller, splitAddress, verdict.Backend.Tag, 1, 0)
+		counts[verdict.Part.Discover+" "+verdict.PartReason.String()]++
+	}
+	return counts
+}
+
+// TestAPartThatCanTakeNoneGivesItsFlowsToTheOther and has its share again, and no more, once it can.
+func TestAPartThatCanTakeNoneGivesItsFlowsToTheOther(t *testing.T) {
+	evacuate := func(active bool) func(f *fleet) {
+		return func(f *fleet) {
+			f.revision++
+			f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Evacuations: []directory.Evacuation{{Zone: "a", Active: active, Revision: f.revision}}})
+			f.steerer.SetView(f.directory.View())
+		}
+	}
+	uploads := func(each func(f *fleet, state *backendState)) func(f *fleet) {
+		return func(f *fleet) {
+			for id := settings.BackendID(11); id <= 12; id++ {
+				each(f, f.steerer.backends[id])
+			}
+		}
+	}
+	cases := map[string]struct {
+		gone, back func(f *fleet)
+		why        PartReason
+	}{
+		"empty": {
+			func(f *fleet) { f.vanish(11); f.vanish(12) },
+			func(f *fleet) { f.announce(11, "upload", "a", false); f.announce(12, "upload", "a", false) }, PartEmpty,
+		},
+		"draining": {
+			func(f *fleet) { f.announce(11, "upload", "a", true); f.announce(12, "upload", "a", true) },
+			func(f *fleet) { f.announce(11, "upload", "a", false); f.announce(12, "upload", "a", false) }, PartEmpty,
+		},
+		"evacuated": {evacuate(true), evacuate(false), PartEmpty},
+		"suspected": {
+			uploads(func(f *fleet, state *backendState) { state.suspectUntil = f.now + time.Hour }),
+			uploads(func(f *fleet, state *backendState) { state.noteProgress(f.now) }), PartDark,
+		},
+		"lost": {
+			uploads(func(f *fleet, state *backendState) { state.lostUntil = f.now + time.Hour }),
+			uploads(func(f *fleet, state *backendState) { state.noteProgress(f.now) }), PartDark,
+		},
+		"doubted": {
+			uploads(func(f *fleet, state *backendState) { state.doubtUntil = f.now + time.Hour }),
+			uploads(func(f *fleet, state *backendState) { state.noteProgress(f.now) }), PartDark,
+		},
+		"out of rotation": {
+			uploads(func(_ *fleet, state *backendState) { state.failures = 10 }),
+			uploads(func(_ *fleet, state *backendState) { state.failures = 0 }), PartOut,
+		},
+		"full": {
+			uploads(func(_ *fleet, state *backendState) { state.active += 2 }),
+			uploads(func(_ *fleet, state *backendState) { state.active -= 2 }), PartFull,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.partsOf(0, 100)
+			c.gone(f)
+			if counts := f.partsOf(100, 100); counts["feed turn"] < 70 || counts["feed "+c.why.String()] < 20 || len(counts) != 2 {
+				t.Errorf("while it can take none: %v", counts)
+			}
+			c.back(f)
+			if counts := f.partsOf(200, 40); counts["upload turn"] < 8 || counts["upload turn"] > 14 || len(counts) != 2 {
+				t.Errorf("again: %v", counts)
+			}
+		})
+	}
+}
+
+// TestACopyGoesToTheOtherPart where no other back end of its own is left.
+func TestACopyGoesToTheOtherPart(t *testing.T) {
+	f := newFleet(t)
+	f.vanish(12)
+	caller := 0
+	verdict := f.open(caller, splitAddress, 0)
+	for ; verdict.Part.Discover != "upload"; verdict = f.open(caller, splitAddress, 0) {
+		f.established(caller, splitAddress, verdict.Backend.Tag, 1, 0)
+		caller++
+	}
+	f.pass(200 * time.Millisecond)
+	f.steerer.backends[11].suspectUntil = f.now + time.Second
+	copied := f.open(caller, splitAddress, 1)
+	if copied.Action != Forward || !copied.Moved || copied.Part.Discover != "feed" || copied.PartReason != PartDark {
+		t.Errorf("the copy: %+v", copied)
+	}
+}
+
+// TestAColdPartGivesItsFlowsToTheOther when its rate allows none now.
+func TestAColdPartGivesItsFlowsToTheOther(t *testing.T) {
+	f := newFleet(t)
+	f.settle(map[string]string{"feed": "1", "upload": "1"}, "2")
+	for id := settings.BackendID(11); id <= 12; id++ {
+		f.revision++
+		cold := directory.Backend{ID: id, Group: "upload", Zone: "a", Slots: 2, WarmUp: time.Hour}
+		f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Records: []directory.Record{{Backend: cold, Revision: f.revision}}})
+	}
+	f.steerer.SetView(f.directory.View())
+	if counts := f.partsOf(0, 40); counts["feed cold"] < 18 || counts["feed turn"] < 18 || counts["no_backend"] > 0 {
+		t.Errorf("%v", counts)
+	}
+}
+
+// TestWeightZeroGetsNoFlow, also where no other part has a back end: all gone is refused at once.
+func TestWeightZeroGetsNoFlow(t *testing.T) {
+	f := newFleet(t)
+	waiting := f.open(0, splitAddress, 0)
+	f.settle(map[string]string{waiting.Part.Discover: "0", map[string]string{"feed": "upload", "upload": "feed"}[waiting.Part.Discover]: "1"}, "0")
+	f.pass(200 * time.Millisecond)
+	if copied := f.open(0, splitAddress, 1); copied.Part == nil || copied.Part.Discover == waiting.Part.Discover {
+		t.Errorf("a copy goes to the part without a weight: %+v", copied)
+	}
+	f.settle(map[string]string{"feed": "0", "upload": "1"}, "0")
+	if counts := f.partsOf(100, 50); len(counts) != 1 || counts["upload only"] != 50 {
+		t.Errorf("%v", counts)
+	}
+	f.vanish(11)
+	f.vanish(12)
+	f.pass(3 * time.Second)
+	if verdict := f.open(200, splitAddress, 0); verdict.Action != Refuse || verdict.Reason != errkind.NoBackend {
+		t.Errorf("%+v", verdict)
+	}
+}
+
+// settle puts settings in force where the split service has the shares, and a rate for back ends that warm up.
+func (f *fleet) settle(shares map[string]string, warmUpRate string) {
+	f.Helper()
+	f.revision++
+	tree := settings.Tree{"": settings.Values{settings.KeyLoadFactor: "2", settings.KeyWarmUpRate: warmUpRate}}
+	f.route(tree, "split", splitAddress, shares)
+	f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Settings: &directory.Settings{Version: f.revision, Revision: f.revision, Tree: tree}})
+	f.steerer.SetView(f.directory.View())
+}
+
+// TestAPartThatAnswersOtherwiseKeepsItsShare: a part of little weight whose answers are shorter and quicker
+// than those of the other one does not fail, and one that begins to fail by its own measure does.
+func TestAPartThatAnswersOtherwiseKeepsItsShare(t *testing.T) {
+	f := newFleet(t)
+	answer := func(caller int, failing bool) string {
+		verdict := f.open(caller, splitAddress, 0)
+		length, took := 4000, 60*time.Millisecond
+		if verdict.Part.Discover == "upload" {
+			length, took = 600, 8*time.Millisecond
+			if failing {
+				length, took = 100, time.Millisecond
+			}
+		}
+		tag := verdict.Backend.Tag
+		f.established(caller, splitAddress, tag, 1, 100)
+		f.now += took
+		f.established(caller, splitAddress, tag, uint32(length), 0)
+		f.steerer.Steer(f.now, &Packet{Flow: key(caller, splitAddress), Kind: Close, Tag: tag, Sequence: uint32(caller) + 102, Acknowledged: uint32(length)})
+		f.pass(time.Second/16 - took)
+		if caller%16 == 0 {
+			f.steerer.Tick(f.now)
+		}
+		return verdict.Part.Discover + " " + verdict.PartReason.String()
+	}
+	count := func(first, number int, failing bool) map[string]int {
+		counts := map[string]int{}
+		for caller := first; caller < first+number; caller++ {
+			counts[answer(caller, failing)]++
+		}
+		return counts
+	}
+	if counts := count(0, 800, false); counts["upload turn"] < 190 || len(counts) != 2 {
+		t.Errorf("a part that answers otherwise: %v", counts)
+	}
+	if counts := count(800, 160, true); counts["feed out_of_rotation"] < 10 {
+		t.Errorf("a part that fails: %v", counts)
+	}
+}
--- a/internal/steering/placing.go
+++ b/internal/steering/placing.go
@@ -34,9 +34,6 @@
 	filters []filter
 }
 
-// usualTier are the back ends that new flows go to; the others are last resorts.
-const usualTier = 0
-
 // tiers are in order of preference: back ends that are well; those that are silent, where no other is
 // left; those whose entries vanished moments ago, perhaps by mistake.
 var tiers = []tier{
--- a/internal/steering/record.go
+++ b/internal/steering/record.go
@@ -26,8 +26,8 @@
 	key     flow.Key
 	member  *directory.Member
 	backend *backendState
-	// group counts the flow towards the shares of its service, nil when adopted.
-	group *groupState
+	// turn is the part whose turn the flow had, where its requests count, nil when adopted.
+	turn *part
 	// opening is set until the caller has answered the back end.
 	opening bool
 	// openSequence is the caller's sequence on its opening packet.
@@ -88,7 +88,7 @@
 
 // adopted tells whether the flow was opened through another balancer.
 func (r *record) adopted() bool {
-	return r.group == nil
+	return r.turn == nil
 }
 
 // noteCopy counts a repeated opening packet as evidence that the back end is silent.
@@ -172,8 +172,8 @@
 	}
 	r.backend.recent++
 	r.backend.steady++
-	if r.group != nil {
-		r.group.count++
+	if r.turn != nil {
+		r.turn.count++
 	}
 	return false
 }
@@ -218,10 +218,5 @@
 	for _, shape := range s.shapes {
 		shape.decay()
 	}
-	for key, group := range s.groups {
-		group.decay()
-		if group.count < forgetCount {
-			delete(s.groups, key)
-		}
-	}
+	s.decaySplits()
 }
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -1,7 +1,6 @@
 package steering
 
 import (
-	"net/netip"
 	"time"
 
 	"gaugeyard/internal/directory"
@@ -35,9 +34,10 @@
 	view     *directory.View
 	flows    map[flow.Key]*record
 	backends map[settings.BackendID]*backendState
-	groups   map[groupKey]*groupState
-	// shapes are what answers look like, by the service's address.
-	shapes map[netip.AddrPort]*answerShape
+	// splits are by the service's name.
+	splits map[string]*split
+	// shapes are what answers look like.
+	shapes map[shapeKey]*answerShape
 	// own is where this balancer stands among those of its zone, and pools what it knows of
 	// the back ends of each name together.
 	own   Place
@@ -72,8 +72,8 @@
 		view:     &directory.View{},
 		flows:    map[flow.Key]*record{},
 		backends: map[settings.BackendID]*backendState{},
-		groups:   map[groupKey]*groupState{},
-		shapes:   map[netip.AddrPort]*answerShape{},
+		splits:   map[string]*split{},
+		shapes:   map[shapeKey]*answerShape{},
 		pools:    map[string]*poolState{},
 		resumed:  -resumeTime,
 		lagged:   -lagTime,
@@ -178,10 +178,9 @@
 		known.lastSeen = now
 		return Verdict{Action: Forward, Backend: known.member}
 	}
-	avoid, previous := known.backend, known.member
 	s.forget(known)
-	verdict := s.place(now, packet, service, avoid)
-	verdict.Moved, verdict.Previous = true, previous
+	verdict := s.place(now, packet, service, known)
+	verdict.Moved, verdict.Previous = true, known.member
 	return verdict
 }
 
@@ -200,6 +199,9 @@
 		return false
 	}
 	for i := range service.Groups {
+		if service.Groups[i].Share <= 0 {
+			continue
+		}
 		for _, member := range s.view.Pool(service.Groups[i].Discover).Open {
 			if member.ID == known.member.ID {
 				return true
@@ -209,13 +211,10 @@
 	return false
 }
 
-// place chooses the back end of a new flow and remembers it.
-func (s *Steerer) place(now time.Duration, packet *Packet, service *settings.Service, avoid *backendState) Verdict {
-	group, weights := s.chooseGroup(service)
-	if group == nil {
-		return refuse(errkind.NoBackend)
-	}
-	choice := s.choose(now, packet.Flow.Hash(), group, service, avoid)
+// place chooses the back end of a new flow and remembers it. left is the flow's earlier place, which a
+// copy of its opening packet leaves, nil for none.
+func (s *Steerer) place(now time.Duration, packet *Packet, service *settings.Service, left *record) Verdict {
+	choice := s.choose(now, packet.Flow.Hash(), service, left)
 	if choice.member == nil {
 		return refuse(errkind.NoBackend)
 	}
@@ -224,7 +223,7 @@
 		key:          packet.Flow,
 		member:       choice.member,
 		backend:      state,
-		group:        weights,
+		turn:         choice.turn,
 		opening:      true,
 		openSequence: packet.Sequence,
 		started:      now,
@@ -236,12 +235,13 @@
 		state.asked(now)
 	}
 	state.notePlaced(now)
-	state.warmUpNext = now + s.warmUpOf(group).interval
+	state.warmUpNext = now + s.warmUpOf(choice.part.group).interval
 	state.trial = state.trial || choice.trial
-	weights.count++
+	choice.turn.count++
 	return Verdict{
 		Action: Forward, Backend: choice.member, Placed: true, Spilled: choice.spilled,
 		Load: choice.load, Mean: meanLoad(s.candidates), Candidates: len(s.candidates),
+		Part: choice.part.group, PartReason: choice.reason,
 	}
 }
 
