Split routes: a part that opens flows and answers no request rests

Requests found without an answer no longer count as slots in use when a part is asked whether it is full. Services of one part are as before.

Tests of steering with -race and the split scenarios of the emulator pass.

--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -35,6 +35,7 @@
 	{"config-storm", "a version every 300 ms; a route comes, goes and changes its service", (*world).configStorm},
 	{"weights", "a route is split 90 to 10 between two services", (*world).weights},
 	{"split-dark", "all servers of one part of a split route stand still for six seconds", (*world).splitDark},
+	{"split-mute", "all servers of one part of a split route take flows and reset all requests for six seconds", (*world).splitMute},
 	{"split-empty", "all servers of one part of a split route leave, and others come six seconds later", (*world).splitEmpty},
 	{"split-release", "the servers of one part of a split route are replaced, one after the other", (*world).splitRelease},
 	{"split-shift", "the weights of a split route are turned round in two steps", (*world).splitShift},
--- a/internal/emulator/scenario_split.go
+++ b/internal/emulator/scenario_split.go
@@ -52,6 +52,18 @@
 	w.At(troubleStart+darkFor, func() { hang(false) })
 }
 
+// splitMute lets all servers of one part take flows and reset all requests for a while.
+func (w *world) splitMute() {
+	w.splitFrom(70, 30)
+	fail := func(part float64) {
+		for _, s := range w.partIncarnations() {
+			s.grey, s.failing = part, failReset
+		}
+	}
+	w.At(troubleStart, func() { fail(1) })
+	w.At(troubleStart+darkFor, func() { fail(0) })
+}
+
 // splitRelease replaces the servers of one part, one after the other.
 func (w *world) splitRelease() {
 	w.splitFrom(70, 30)
--- a/internal/emulator/split_test.go
+++ b/internal/emulator/split_test.go
@@ -8,14 +8,17 @@
 // TestSharesAfterTrouble: a part that was dark, empty or replaced, or whose weight was shifted, has its share
 // of the requests again, and those of the other part's turns were served meanwhile.
 func TestSharesAfterTrouble(t *testing.T) {
-	for scenario, least := range map[string]float64{"split-dark": 0.95, "split-empty": 0.98, "split-release": 0.98, "split-shift": 0.98} {
+	for scenario, c := range map[string]struct {
+		perZone int
+		least   float64
+	}{"split-dark": {8, 0.95}, "split-mute": {3, 0.95}, "split-empty": {8, 0.98}, "split-release": {8, 0.98}, "split-shift": {8, 0.98}} {
 		t.Run(scenario, func(t *testing.T) {
 			t.Parallel()
 			found, _ := Find(scenario)
 			const seeds = 2
 			small, lookups := 0.0, 0.0
 			for seed := uint64(1); seed <= seeds; seed++ {
-				result := Run(Options{Scenario: found, Seed: seed, BalancersPerZone: 8})
+				result := Run(Options{Scenario: found, Seed: seed, BalancersPerZone: c.perZone})
 				if len(result.Violations) > 0 {
 					t.Errorf("seed %d: %+v", seed, result.Violations[0])
 				}
@@ -25,7 +28,7 @@
 			if math.Abs(small-0.3) > 0.02 {
 				t.Errorf("the part with 0.3 has %.3f of the requests", small)
 			}
-			if lookups < least {
+			if lookups < c.least {
 				t.Errorf("%.3f of the split route's requests are answered within their aim", lookups)
 			}
 			t.Logf("share %.3f, lookups in aim %.3f", small, lookups)
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -77,8 +77,8 @@
 	flows int
 	// opening are those of flows that have not opened yet.
 	opening int
-	// active are the requests under way.
-	active int
+	// active are the requests under way, and overdue those of them that were found without an answer.
+	active, overdue int
 	// recent is the number of requests begun lately through this balancer, decaying;
 	// others is what other balancers say of theirs.
 	recent float64
@@ -170,6 +170,14 @@
 	}
 	if known.waiting {
 		b.active--
+		b.settle(known)
+	}
+}
+
+// settle notes that a request is under way no more.
+func (b *backendState) settle(known *record) {
+	if known.unanswered {
+		b.overdue--
 	}
 }
 
@@ -177,6 +185,7 @@
 // says nothing of the time after.
 func (b *backendState) finish(now, latency time.Duration, cold bool) {
 	b.active--
+	b.pool.rest.noteAnswer()
 	if cold {
 		b.pool.noteCold(latency)
 		return
@@ -265,6 +274,7 @@
 // noteFault counts a request that was left unanswered since askedAt.
 func (b *backendState) noteFault(now, askedAt time.Duration) {
 	b.faults++
+	b.pool.rest.noteVain(now)
 	if b.faults >= faultyFrom && !b.faulty {
 		b.faulty = true
 		b.note(Faulty, now-askedAt, 0)
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -77,7 +77,7 @@
 		}
 		for _, p := range parts {
 			s.placing = placing{now: now, hash: hash, pool: s.view.Pool(p.group.Discover), limit: s.warmUpOf(p.group), avoid: avoid}
-			able, why := s.weigh(round)
+			able, why := s.weigh(p, round)
 			if able {
 				if p == parts[0] {
 					reason = usual
@@ -95,7 +95,7 @@
 }
 
 // weigh gathers and scores candidates, and tells whether they can take the flow, or why not.
-func (s *Steerer) weigh(round round) (able bool, why PartReason) {
+func (s *Steerer) weigh(p *part, round round) (able bool, why PartReason) {
 	if !s.gather(round.tier) {
 		return false, s.whyNone()
 	}
@@ -107,13 +107,15 @@
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		out = out && c.state.out
-		full = full && c.full()
+		full = full && c.state.active-c.state.overdue >= max(c.member.Slots, 1)
 	}
 	switch {
 	case out:
 		return false, PartOut
 	case full:
 		return false, PartFull
+	case s.poolOf(p.group.Discover).rest.keeps(s.placing.now):
+		return false, PartDark
 	}
 	return true, PartTurn
 }
--- a/internal/steering/parts.go
+++ b/internal/steering/parts.go
@@ -39,7 +39,7 @@
 	PartTurn
 	// PartEmpty is no back end, or none outside of evacuated zones.
 	PartEmpty
-	// PartDark is none that answers.
+	// PartDark is none that answers, be it opening packets or requests.
 	PartDark
 	// PartCold is none but such as warm up and get their flows from others now.
 	PartCold
--- a/internal/steering/parts_test.go
+++ b/internal/steering/parts_test.go
@@ -246,3 +246,33 @@
 		t.Errorf("a part that fails: %v", counts)
 	}
 }
+
+// TestAPartThatAnswersNoRequestRests, and one flow at a time tries it, until one is answered.
+func TestAPartThatAnswersNoRequestRests(t *testing.T) {
+	f := newFleet(t)
+	ask := func(caller int, answered bool) string {
+		verdict := f.open(caller, splitAddress, 0)
+		tag := verdict.Backend.Tag
+		f.established(caller, splitAddress, tag, 1, 100)
+		if answered || verdict.Part.Discover == "feed" {
+			f.established(caller, splitAddress, tag, 500, 0)
+		}
+		f.pass(25 * time.Millisecond)
+		return verdict.Part.Discover + " " + verdict.PartReason.String()
+	}
+	counts := map[string]int{}
+	for caller := range 400 {
+		counts[ask(caller, false)]++
+	}
+	if counts["feed dark"] < 60 || counts["upload turn"] > 35 {
+		t.Errorf("while it answers none: %v", counts)
+	}
+	f.pass(longestRest)
+	clear(counts)
+	for caller := 400; caller < 600; caller++ {
+		counts[ask(caller, true)]++
+	}
+	if counts["upload turn"] < 46 || counts["upload turn"] > 54 || counts["feed dark"] > 2 {
+		t.Errorf("when it answers again: %v", counts)
+	}
+}
--- a/internal/steering/pool.go
+++ b/internal/steering/pool.go
@@ -35,6 +35,8 @@
 	usual float64
 	// coldPace is how many times longer answers took while back ends warmed up.
 	coldPace float64
+	// rest is what keeps flows of split services away that other parts can take.
+	rest rest
 	// repeated tells how often requests were sent again in vain though their back end was well:
 	// in the last seconds, which follows a change, and in the last half minute, which varies less.
 	repeated, repeatedLong repetitions
--- a/internal/steering/record.go
+++ b/internal/steering/record.go
@@ -143,6 +143,7 @@
 	}
 	r.waiting = false
 	r.backend.active--
+	r.backend.settle(r)
 }
 
 // request notes data of the caller: the begin of a request, more of one, or a
@@ -186,6 +187,7 @@
 		return
 	}
 	r.waiting = false
+	r.backend.settle(r)
 	r.answerTime = now - r.askedAt
 	r.backend.finish(now, now-r.askedAt, r.askedAt < r.member.ColdUntil)
 }
--- a/internal/steering/unanswered.go
+++ b/internal/steering/unanswered.go
@@ -54,6 +54,7 @@
 	s.awaited.look(func(known *record) {
 		if known.lastSeen < s.resumed+resumeTime {
 			known.unanswered = true
+			known.backend.overdue++
 			return
 		}
 		known.noteUnanswered(now)
@@ -68,5 +69,6 @@
 		return
 	}
 	r.unanswered = true
+	r.backend.overdue++
 	r.backend.noteFault(now, r.askedAt)
 }
