--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -224,6 +224,7 @@
 	n.steerBy(events, from, answer.Age)
 	if step := changes.Step; passedOn && (step == nil || step.Revision == n.directory.SettingsRevision()) {
 		n.answers.put(n.generation, asked, answer.received)
+		n.metrics.answersPassedOn.Inc()
 	}
 }
 
