Admission: a limit of flows of a back end holds over the fleet

Cause: a service's maxConnections was not read, and no balancer kept to a limit of flows at back ends.

Change: internal/admission divides the limit by fixed parts, three quarters among the balancers of the back end's zone, the rest among all. BenchmarkEstablished opens 20,000 flows at 6 back ends, above the default limit: its back ends are unlimited.

--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -103,7 +103,7 @@
 	{KeyLoadAddress, "", LevelBackend, LevelBackend, "IP:port", "Where a back end reports its load over HTTP at /metrics; without it, it reports none.", canonicalAddress},
 	{KeyWeight, "1", LevelBackend, LevelBackend, "0.01 to 100", "Share of new flows relative to the group's other back ends.", canonicalFloat(0.01, 100)},
 	{KeySlots, "2", LevelRoot, LevelBackend, "1 to 4096", "Requests that a back end runs at once.", canonicalInt(1, 4096)},
-	{KeyConnections, "2000", LevelRoot, LevelBackend, "1 to 1000000", "Flows that a back end holds at once.", canonicalInt(1, 1000000)},
+	{KeyConnections, "2000", LevelRoot, LevelBackend, "1 to 1000000", "Flows that a back end holds at once, over all balancers.", canonicalInt(1, 1000000)},
 	{KeyQueueFactor, "6", LevelRoot, LevelBackend, "1 to 100", "Requests in flight to a back end over all balancers, as a multiple of its slots.", canonicalFloat(1, 100)},
 	{KeyRequestDeadline, "2s", LevelRoot, LevelService, "10ms to 10m", "Time from a request's arrival until it is given up.", canonicalDuration(10*time.Millisecond, 10*time.Minute)},
 	{KeyRequestLifetime, "45s", LevelRoot, LevelService, "1s to 10m", "Time during which copies of one request may still arrive.", canonicalDuration(time.Second, 10*time.Minute)},
--- a/internal/settings/snapshot.go
+++ b/internal/settings/snapshot.go
@@ -65,6 +65,8 @@
 	SlowStart time.Duration
 	// WarmUpRate is how many new flows a second a back end gets while it warms up; 0 is no limit.
 	WarmUpRate float64
+	// Connections is how many flows a back end holds at once.
+	Connections int
 }
 
 // Snapshot is a resolved tree at one revision. It is read-only.
@@ -247,11 +249,12 @@
 				continue
 			}
 			groups = append(groups, Group{
-				Path:       path,
-				Discover:   discover,
-				Share:      reader.float(KeyShare),
-				SlowStart:  reader.duration(KeySlowStart),
-				WarmUpRate: reader.float(KeyWarmUpRate),
+				Path:        path,
+				Discover:    discover,
+				Share:       reader.float(KeyShare),
+				SlowStart:   reader.duration(KeySlowStart),
+				WarmUpRate:  reader.float(KeyWarmUpRate),
+				Connections: reader.int(KeyConnections),
 			})
 		}
 	}
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gaugeyard/internal/directory"
+	"gaugeyard/internal/errkind"
 	"gaugeyard/internal/settings"
 )
 
@@ -40,6 +41,8 @@
 type choice struct {
 	member *directory.Member
 	part   *part
+	// refusal is why none may.
+	refusal errkind.Kind
 	// turn is the part whose turn it was, and reason why the flow went to the other one.
 	turn    *part
 	reason  PartReason
@@ -56,7 +59,7 @@
 }
 
 // rounds are in order of preference. A service with one part skips the first.
-var rounds = []round{{0, true}, {0, false}, {1, false}, {2, false}}
+var rounds = []round{{0, true}, {0, false}, {1, false}, {2, false}, {3, false}}
 
 // choose picks the back end of a new flow. The part whose turn it is goes first, and another one where it
 // can take none. A flow that leaves an earlier place has had its turn.
@@ -76,7 +79,7 @@
 			continue
 		}
 		for _, p := range parts {
-			s.placing = placing{now: now, hash: hash, pool: s.view.Pool(p.group.Discover), limit: s.warmUpOf(p.group), avoid: avoid}
+			s.placing = placing{now: now, hash: hash, group: p.group, pool: s.view.Pool(p.group.Discover), limit: s.warmUpOf(p.group), avoid: avoid}
 			able, why := s.weigh(p, round)
 			if able {
 				if p == parts[0] {
@@ -91,7 +94,19 @@
 			}
 		}
 	}
-	return choice{}
+	return choice{refusal: s.refusal(parts)}
+}
+
+// refusal is why no back end of the parts may take a flow.
+func (s *Steerer) refusal(parts []*part) errkind.Kind {
+	for _, p := range parts {
+		for _, member := range s.view.Pool(p.group.Discover).Open {
+			if s.connectionsOf(p.group, member).Refuses(s.stateOf(member).flows) {
+				return errkind.ConnectionsFull
+			}
+		}
+	}
+	return errkind.NoBackend
 }
 
 // weigh gathers and scores candidates, and tells whether they can take the flow, or why not.
@@ -126,12 +141,16 @@
 	if len(p.pool.Open) == 0 {
 		return PartEmpty
 	}
+	reason := PartDark
 	for _, member := range p.pool.Open {
-		if s.withholds(p.now, p.limit, member, s.stateOf(member)) {
+		switch state := s.stateOf(member); {
+		case s.withholds(p.now, p.limit, member, state):
 			return PartCold
+		case s.connectionsOf(p.group, member).Avoids(state.flows):
+			reason = PartFull
 		}
 	}
-	return PartDark
+	return reason
 }
 
 // pick returns the best of the candidates, which were scored: the one with the least work in the own
--- /dev/null
+++ b/internal/steering/connections_test.go
@@ -0,0 +1,71 @@
+package steering
+
+import (
+	"testing"
+
+	"gaugeyard/internal/errkind"
+	"gaugeyard/internal/settings"
+)
+
+// TestBackEndsAtTheirLimitOfFlows are avoided while others have room, also in another part; where none has, flows
+// are refused at once, and taken again when one ends.
+func TestBackEndsAtTheirLimitOfFlows(t *testing.T) {
+	f := newFleet(t)
+	f.steerer.SetPlace(Place{Count: 10, Fleet: 20})
+	for _, s := range f.steerer.view.Settings.Services {
+		for i := range s.Groups {
+			s.Groups[i].Connections = 40
+		}
+	}
+	// A balancer's part is 3 in its zone and half a flow elsewhere; it refuses from 12 and 4 on.
+	for caller := range 4*3 + 2*1 {
+		f.opened(caller, feedAddress)
+	}
+	for id := settings.BackendID(1); id <= 6; id++ {
+		if flows, want := f.steerer.backends[id].flows, map[bool]int{true: 3, false: 1}[id <= 4]; flows != want {
+			t.Errorf("back end %d has %d flows, want %d", id, flows, want)
+		}
+	}
+	if counts := f.partsOf(100, 5); counts["upload turn"]+counts["upload full"] != 5 {
+		t.Errorf("a split service: %v", counts)
+	}
+	caller, verdict := 200, Verdict{}
+	for ; caller < 400; caller++ {
+		if verdict = f.open(caller, feedAddress, 0); verdict.Action != Forward {
+			break
+		}
+		f.established(caller, feedAddress, verdict.Backend.Tag, 1, 0)
+	}
+	if verdict.Action != Refuse || verdict.Reason != errkind.ConnectionsFull {
+		t.Fatalf("after %d flows: %+v", caller-200, verdict)
+	}
+	f.steerer.Steer(f.now, &Packet{Flow: key(200, feedAddress), Kind: Close, Tag: f.steerer.flows[key(200, feedAddress)].member.Tag, Acknowledged: 2})
+	if verdict := f.open(500, feedAddress, 0); verdict.Action != Forward {
+		t.Errorf("after one has ended: %+v", verdict)
+	}
+}
+
+// TestTheLimitHoldsAcrossBalancers that meet flows by chance and tell each other nothing: at nine tenths of what
+// all back ends hold, none has more than its limit, and no flow is refused.
+func TestTheLimitHoldsAcrossBalancers(t *testing.T) {
+	const limit, balancers = 120, 6
+	var all []*fleet
+	for range balancers {
+		f := newFleet(t)
+		f.steerer.SetPlace(Place{Count: balancers, Fleet: balancers})
+		f.steerer.view.Settings.ServiceAt(feedAddress).Groups[0].Connections = limit
+		all = append(all, f)
+	}
+	held := map[settings.BackendID]int{}
+	// Four back ends in the zone with three quarters of the limit, two elsewhere with a quarter.
+	const room = 4*limit*3/4 + 2*limit/4
+	for caller := range room * 9 / 10 {
+		f := all[key(caller, feedAddress).Hash()%balancers]
+		held[f.opened(caller, feedAddress).ID]++
+	}
+	for id, flows := range held {
+		if flows > limit {
+			t.Errorf("back end %d holds %d flows", id, flows)
+		}
+	}
+}
--- a/internal/steering/filters.go
+++ b/internal/steering/filters.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"gaugeyard/internal/admission"
 	"gaugeyard/internal/directory"
+	"gaugeyard/internal/settings"
 )
 
 const (
@@ -33,6 +35,21 @@
 	return p.now-member.GoneAt > s.lapseGrace(p.pool)
 }
 
+// filterConnections leaves out back ends that have this balancer's part of the flows that they may hold, and
+// filterFull those that certainly hold all.
+func filterConnections(s *Steerer, p *placing, member *directory.Member, state *backendState) bool {
+	return s.connectionsOf(p.group, member).Avoids(state.flows)
+}
+
+func filterFull(s *Steerer, p *placing, member *directory.Member, state *backendState) bool {
+	return s.connectionsOf(p.group, member).Refuses(state.flows)
+}
+
+// connectionsOf is the limit of flows of one of the group's back ends, and who divides it.
+func (s *Steerer) connectionsOf(group *settings.Group, member *directory.Member) admission.Connections {
+	return admission.Connections{Limit: group.Connections, Zone: s.own.Count, Fleet: s.own.Fleet, Local: member.Zone == s.config.Zone}
+}
+
 // doubts tells whether new flows avoid a back end for its silence. Silence counts from
 // when this process could have heard an answer.
 func (s *Steerer) doubts(now time.Duration, state *backendState) bool {
--- a/internal/steering/parts.go
+++ b/internal/steering/parts.go
@@ -43,7 +43,8 @@
 	PartDark
 	// PartCold is none but such as warm up and get their flows from others now.
 	PartCold
-	// PartFull is a request of this balancer under way in each slot, and PartOut all out of rotation.
+	// PartFull is a request of this balancer under way in each slot, or all near their limit of flows, and
+	// PartOut all out of rotation.
 	PartFull
 	PartOut
 
--- a/internal/steering/placing.go
+++ b/internal/steering/placing.go
@@ -5,13 +5,15 @@
 
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/placement"
+	"gaugeyard/internal/settings"
 )
 
 // placing is the decision on one new flow: what its filters and scorers read.
 type placing struct {
-	now  time.Duration
-	hash uint64
-	pool *directory.Pool
+	now   time.Duration
+	hash  uint64
+	group *settings.Group
+	pool  *directory.Pool
 	// limit is how new flows go to back ends of the group while these warm up.
 	limit warmUp
 	// avoid is the back end that a copy of an opening packet leaves, nil for none.
@@ -34,12 +36,13 @@
 	filters []filter
 }
 
-// tiers are in order of preference: back ends that are well; those that are silent, where no other is
-// left; those whose entries vanished moments ago, perhaps by mistake.
+// tiers are in order of preference: back ends that are well; those near their limit; those that are silent,
+// where no other is left; those whose entries vanished moments ago, perhaps by mistake.
 var tiers = []tier{
-	{openMembers, []filter{filterCold, filterLeft, filterSilent}},
-	{openMembers, []filter{filterCold}},
-	{leftMembers, []filter{filterLapsed, filterCold}},
+	{openMembers, []filter{filterCold, filterLeft, filterSilent, filterConnections}},
+	{openMembers, []filter{filterCold, filterLeft, filterSilent, filterFull}},
+	{openMembers, []filter{filterCold, filterFull}},
+	{leftMembers, []filter{filterLapsed, filterCold, filterFull}},
 }
 
 // scorers fill the candidates: first the work at each, then what makes the same work more.
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -216,7 +216,7 @@
 func (s *Steerer) place(now time.Duration, packet *Packet, service *settings.Service, left *record) Verdict {
 	choice := s.choose(now, packet.Flow.Hash(), service, left)
 	if choice.member == nil {
-		return refuse(errkind.NoBackend)
+		return refuse(choice.refusal)
 	}
 	state := s.stateOf(choice.member)
 	known := &record{
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -111,6 +111,15 @@
 	})
 }
 
+// unlimited lets back ends hold any number of flows.
+func (f *fleet) unlimited() {
+	for _, service := range f.steerer.view.Settings.Services {
+		for i := range service.Groups {
+			service.Groups[i].Connections = 0
+		}
+	}
+}
+
 // opened opens a flow and returns its back end.
 func (f *fleet) opened(caller int, service netip.AddrPort) *directory.Member {
 	f.Helper()
@@ -638,6 +647,7 @@
 	for _, flows := range []int{100, 20000} {
 		b.Run(fmt.Sprintf("flows=%d", flows), func(b *testing.B) {
 			f := newFleet(&testing.T{})
+			f.unlimited()
 			packets := make([]Packet, flows)
 			for i := range packets {
 				verdict := f.open(i, feedAddress, 0)
