Split routes: a rest is not renewed by requests of before it began

Cause: read again: while a part rests, requests asked before come to light as unanswered for 0.4 s and more, and each doubled the rest that had just begun; a part that was well again was left out for 2 s and longer.

Change: within a rest only the flow that tries the part counts.

--- a/internal/steering/rest.go
+++ b/internal/steering/rest.go
@@ -22,15 +22,18 @@
 	vain   int
 	length time.Duration
 	until  time.Duration
+	// trial is set while a flow tries the part.
+	trial bool
 }
 
 // noteVain notes that a back end left a request unanswered.
 func (r *rest) noteVain(now time.Duration) {
 	r.vain++
-	if r.vain < restFrom || r.length > 0 && now < r.until-restTrial {
+	if r.vain < restFrom || now < r.until && !r.trial {
 		// One that was asked before the rest began is no news.
 		return
 	}
+	r.trial = false
 	r.length = min(max(firstRest, 2*r.length), longestRest)
 	r.until = now + r.length
 }
@@ -44,7 +47,7 @@
 		return true
 	}
 	if r.length > 0 {
-		r.until = now + restTrial
+		r.until, r.trial = now+restTrial, true
 	}
 	return false
 }
