Moved flows tell their part

Cause: a copy of an opening packet that left its back end said neither in the log nor in the counter to which part it went. Change: part and part_reason in flow moved before opening; it counts in gaugeyard_flows_by_part_total. Measured: tests of edge, operator, logs, sim, datapath and soak pass.

--- a/internal/edge/verdict.go
+++ b/internal/edge/verdict.go
@@ -24,8 +24,10 @@
 		n.logRefusal(packet, verdict)
 	case verdict.Moved:
 		n.metrics.moved.Inc()
+		n.metrics.byPart[verdict.PartReason].Inc()
 		n.logFlow(&n.oddLines, "flow moved before opening", "caller", packet.Flow.Caller, "service", packet.Flow.Service, "attempt", packet.Attempt,
-			"backend", backendName(verdict.Backend.ID), "before", backendName(verdict.Previous.ID), "revision", n.viewRevision.Load())
+			"backend", backendName(verdict.Backend.ID), "before", backendName(verdict.Previous.ID), "part", string(verdict.Part.Path), "part_reason", verdict.PartReason.String(),
+			"revision", n.viewRevision.Load())
 	case verdict.Repinned:
 		n.metrics.repinned.Inc()
 	case verdict.Placed:
