--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -27,6 +27,9 @@
 //	slow, cold       answers that take long, its entry         answers that do not
 //	cold, limited    its entry, where its group has a rate     the end of the warm-up; few
 //	                                                           balancers place flows there
+//	near its limit   as many flows as this balancer's part     the end of one
+//	its part rests   three requests in a row that none of      an answer; 0.5 to 8 s, then one
+//	                 the part answers, of a split service      flow tries
 //	evacuated        the operators' word on its zone           the same; it is in no pool
 //
 // Guarantees: an established flow goes where its tag or its record says, never elsewhere
