--- a/internal/settings/groups.go
+++ b/internal/settings/groups.go
@@ -16,7 +16,7 @@
 
 // groupTexts are the values in force at a group, as text.
 type groupTexts struct {
-	discover, share, slowStart, warmUpRate string
+	discover, share, slowStart, warmUpRate, connections string
 }
 
 // of returns those of the groups whose back ends announce themselves, in the order of paths.
@@ -54,7 +54,7 @@
 	if texts.share == "" {
 		texts.share = fieldsByKey[KeyShare].Default
 	}
-	texts.slowStart, texts.warmUpRate = inForce(KeySlowStart), inForce(KeyWarmUpRate)
+	texts.slowStart, texts.warmUpRate, texts.connections = inForce(KeySlowStart), inForce(KeyWarmUpRate), inForce(KeyConnections)
 	return texts
 }
 
@@ -64,5 +64,6 @@
 	group.Share, _ = strconv.ParseFloat(t.share, 64)
 	group.SlowStart, _ = time.ParseDuration(t.slowStart)
 	group.WarmUpRate, _ = strconv.ParseFloat(t.warmUpRate, 64)
+	group.Connections, _ = strconv.Atoi(t.connections)
 	return group
 }
