Entries that lapse in an outage of the store stay candidates for a moment

Cause: servers' entries run out while the store is down and are back within two seconds of its return. Those that were back first took all new flows, since departed back ends were a last resort alone.

Change: internal/directory/lapse.go decides what lapsed: the store's confirmation had been missing for 3/4 of the contact bound before the changes or listing that took an entry away, or it vanished within the time of return; not draining, not evacuated, its address not another one's. Such a back end may take new flows until 2 s after the return, 3/5 of the drain bound at most (internal/steering/lapsed.go), unless it is doubted, suspected or lost. Others hear what lapsed and how long ago the store returned, and take that word in place of their own.

It does nothing for balancers that lost all they knew.

--- a/internal/directory/build.go
+++ b/internal/directory/build.go
@@ -28,7 +28,7 @@
 		return &Member{Backend: known.Backend, Tag: TagOf(id), ColdUntil: known.coldUntil, Evacuated: d.evacuated(&known.Backend)}
 	}
 	if left, gone := d.gone[id]; gone {
-		return &Member{Backend: left.Backend, Tag: TagOf(id), Gone: true, GoneAt: left.at, Evacuated: d.evacuated(&left.Backend)}
+		return &Member{Backend: left.Backend, Tag: TagOf(id), Gone: true, GoneAt: left.at, LapsedUntil: left.lapsedUntil, Evacuated: d.evacuated(&left.Backend)}
 	}
 	return nil
 }
@@ -58,6 +58,7 @@
 	pool := b.pool(after.Group)
 	if after.Gone {
 		pool.Left = with(pool.Left, after)
+		pool.LapsedUntil = max(pool.LapsedUntil, after.LapsedUntil)
 		return
 	}
 	pool.Open = with(pool.Open, after)
@@ -86,7 +87,7 @@
 	if !b.ownPools[group] {
 		b.ownPools[group] = true
 		known := b.view.Pool(group)
-		b.view.groups[part][group] = &Pool{Open: slices.Clone(known.Open), Left: slices.Clone(known.Left)}
+		b.view.groups[part][group] = &Pool{Open: slices.Clone(known.Open), Left: slices.Clone(known.Left), LapsedUntil: known.LapsedUntil}
 	}
 	return b.view.groups[part][group]
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,7 +8,8 @@
 // is what differs between two versions of the settings, a view is what packets are
 // steered by, an evacuation is the operators' word that a zone takes no new flow. Whatever is told twice, late or out of order leads to the same beliefs:
 // each entry has the store's revision, and only a higher one replaces it. A back end
-// whose entry vanished is departed; it takes no new flow and keeps its tag.
+// whose entry vanished is departed; it takes no new flow and keeps its tag. One that is lapsed departed in
+// an outage of the store, and may take new flows for a moment.
 //
 // A Directory is not safe for concurrent use. Its views are read-only and are; a new one
 // shares with the one before all that did not change.
@@ -68,6 +69,10 @@
 	// Departed are back ends that are gone and may still serve flows; only
 	// listings from other balancers have any.
 	Departed []Record
+	// Told is set in what another balancer tells, and Lapsed are those of Departed whose entries
+	// vanished in an outage of the store by what that one knows.
+	Told   bool
+	Lapsed []settings.BackendID
 }
 
 // Changes is what was written after an earlier revision, in order.
@@ -82,6 +87,9 @@
 	Gone    []Gone
 	// Evacuations are what operators said of zones, the newest word on each last.
 	Evacuations []Evacuation
+	// Told and Lapsed are as in a Listing, of Gone.
+	Told   bool
+	Lapsed []settings.BackendID
 }
 
 // Gone tells that the entry of a back end vanished.
@@ -131,6 +139,8 @@
 type departed struct {
 	Record
 	at time.Duration
+	// lapsedUntil is how long it may take new flows all the same, since its entry vanished in an outage.
+	lapsedUntil time.Duration
 }
 
 // Directory is what this balancer believes. It is not safe for concurrent use;
@@ -153,6 +163,11 @@
 	changed map[settings.BackendID]bool
 	// forgotten is the newest revision at which a forgotten back end departed.
 	forgotten uint64
+	// lapse bounds the belief in lapsed back ends; lapsed has those of the last outage, which ended with
+	// returned, by address.
+	lapse    Lapse
+	returned storeReturn
+	lapsed   map[netip.AddrPort]settings.BackendID
 }
 
 // New returns an empty directory that remembers departed back ends for keep.
@@ -164,6 +179,7 @@
 		evacuations: map[string]Evacuation{},
 		view:        &View{},
 		changed:     map[settings.BackendID]bool{},
+		lapsed:      map[netip.AddrPort]settings.BackendID{},
 	}
 }
 
@@ -179,6 +195,7 @@
 	for _, record := range listing.Departed {
 		d.rememberDeparted(now, record)
 	}
+	d.lapseAll(now, listing.Lapsed)
 	if listing.Revision < d.revision {
 		return nil
 	}
@@ -193,11 +210,17 @@
 		listed[record.Backend.ID] = true
 		events = d.applyRecord(now, events, record)
 	}
+	var vanished []settings.BackendID
 	for _, id := range slices.Sorted(maps.Keys(d.live)) {
 		if !listed[id] && d.live[id].Revision <= listing.Revision {
 			events = d.applyGone(now, events, Gone{ID: id, Revision: listing.Revision})
+			vanished = append(vanished, id)
 		}
 	}
+	if listing.Told {
+		vanished = listing.Lapsed
+	}
+	d.lapseAll(now, vanished)
 	return events
 }
 
@@ -218,9 +241,17 @@
 	for _, record := range changes.Records {
 		events = d.applyRecord(now, events, record)
 	}
+	var vanished []settings.BackendID
 	for _, gone := range changes.Gone {
-		events = d.applyGone(now, events, gone)
+		before := len(events)
+		if events = d.applyGone(now, events, gone); len(events) > before {
+			vanished = append(vanished, gone.ID)
+		}
+	}
+	if changes.Told {
+		vanished = changes.Lapsed
 	}
+	d.lapseAll(now, vanished)
 	d.revision = max(d.revision, changes.Revision)
 	return events
 }
@@ -235,6 +266,7 @@
 		return events
 	}
 	d.changed[id] = true
+	d.endLapseAt(record.Backend.Address)
 	delete(d.gone, id)
 	d.live[id] = entry{Record: record, coldUntil: now + record.Backend.WarmUp}
 	event := Event{Backend: record.Backend, Revision: record.Revision}
@@ -258,7 +290,7 @@
 	}
 	d.changed[gone.ID] = true
 	delete(d.live, gone.ID)
-	d.gone[gone.ID] = departed{Record{known.Backend, gone.Revision}, now}
+	d.gone[gone.ID] = departed{Record: Record{known.Backend, gone.Revision}, at: now}
 	return append(events, Event{Transition: BackendGone, Backend: known.Backend, Revision: gone.Revision})
 }
 
@@ -269,7 +301,7 @@
 	}
 	if _, known := d.gone[record.Backend.ID]; !known {
 		d.changed[record.Backend.ID] = true
-		d.gone[record.Backend.ID] = departed{record, now}
+		d.gone[record.Backend.ID] = departed{Record: record, at: now}
 	}
 }
 
--- /dev/null
+++ b/internal/directory/lapse.go
@@ -0,0 +1,139 @@
+package directory
+
+import (
+	"net/netip"
+	"time"
+
+	"gaugeyard/internal/settings"
+)
+
+// A back end announces itself again and again, and its entry vanishes after some silence. While the
+// store is away nobody can write there, so entries of sound back ends vanish as well and are back in a
+// moment. Those that are back first must not take the work of all: a lapsed back end is departed, and
+// may take new flows for a short time after the store's return.
+const (
+	// missingPart is for which part of the contact bound nobody had heard of the store before its
+	// return, for that to have been an outage: by the ages that balancers in touch keep, beliefs are
+	// 0.58 of the bound old at most.
+	missingPart = 0.75
+	// returnTime is within what time of the store's return entries of sound back ends are back.
+	returnTime = 2 * time.Second
+	// returnPart is which part of the drain bound that is at most: a back end that left just as the
+	// store returned takes no flow after the bound, though balancers heard of the return later.
+	returnPart = 0.6
+)
+
+// Lapse bounds the belief in back ends whose entries vanished in an outage. The zero value is none.
+type Lapse struct {
+	// Missing is for how long the store had confirmed nothing, at least.
+	Missing time.Duration
+	// Window is how long after the store's return the belief lasts.
+	Window time.Duration
+}
+
+// LapseWithin returns what the platform's bounds allow.
+func LapseWithin(contact, drain time.Duration) Lapse {
+	return Lapse{
+		Missing: time.Duration(missingPart * float64(contact)),
+		Window:  min(returnTime, time.Duration(returnPart*float64(drain))),
+	}
+}
+
+// storeReturn is the end of the last outage of the store that is known here.
+type storeReturn struct {
+	known bool
+	at    time.Duration
+}
+
+// SetLapse changes the bounds of the belief in lapsed back ends.
+func (d *Directory) SetLapse(bounds Lapse) { d.lapse = bounds }
+
+// NoteConfirmed notes that the store confirmed age ago what is believed, where the confirmation before
+// is old by now. It tells whether that was the end of an outage. What vanishes from then on, or came
+// with it, lapsed. Call it before what came with the confirmation is applied.
+func (d *Directory) NoteConfirmed(now, age, old time.Duration) bool {
+	if d.revision == 0 || d.lapse.Window == 0 || old-age < d.lapse.Missing {
+		return false
+	}
+	return d.noteReturn(now - age)
+}
+
+// HearReturn takes over from another balancer that the store returned at a time. Call it before
+// what that one told is applied. It tells whether the return is news.
+func (d *Directory) HearReturn(at time.Duration) bool { return d.noteReturn(at) }
+
+// IsLapsed tells whether the back end lapsed in the last outage.
+func (d *Directory) IsLapsed(id settings.BackendID) bool { return d.gone[id].lapsedUntil > 0 }
+
+// noteReturn begins the time of a return that is not known yet; others saw the same return at about the
+// same time, and the belief must not last longer each time that it is told.
+func (d *Directory) noteReturn(at time.Duration) bool {
+	if d.returned.known && at < d.returned.at+d.lapse.Missing {
+		return false
+	}
+	d.returned = storeReturn{known: true, at: at}
+	clear(d.lapsed)
+	return true
+}
+
+// ReturnAge is how long ago the store returned from an outage, while back ends may be lapsed.
+func (d *Directory) ReturnAge(now time.Duration) (age time.Duration, returning bool) {
+	return now - d.returned.at, d.returning(now)
+}
+
+// returning tells whether back ends may be lapsed.
+func (d *Directory) returning(now time.Duration) bool {
+	return d.returned.known && now < d.lapsedUntil()
+}
+
+// lapsedUntil is when lapsed back ends of the last outage are no longer believed in.
+func (d *Directory) lapsedUntil() time.Duration { return d.returned.at + d.lapse.Window }
+
+// lapseAll takes those back ends for lapsed that are gone, were not draining, and whose address no other
+// back end has.
+func (d *Directory) lapseAll(now time.Duration, ids []settings.BackendID) {
+	if len(ids) == 0 || !d.returning(now) {
+		return
+	}
+	byAddress := make(map[netip.AddrPort]settings.BackendID, len(ids))
+	for _, id := range ids {
+		if left, gone := d.gone[id]; gone && !left.Backend.Draining {
+			byAddress[left.Backend.Address] = id
+		}
+	}
+	for _, known := range d.live {
+		delete(byAddress, known.Backend.Address)
+	}
+	for address, id := range byAddress {
+		d.lapsed[address] = id
+		left := d.gone[id]
+		left.lapsedUntil = d.lapsedUntil()
+		d.gone[id] = left
+		d.changed[id] = true
+	}
+}
+
+// endLapseAt ends the belief in a lapsed back end whose address another back end announces.
+func (d *Directory) endLapseAt(address netip.AddrPort) {
+	id, lapsed := d.lapsed[address]
+	if !lapsed {
+		return
+	}
+	delete(d.lapsed, address)
+	if left, gone := d.gone[id]; gone {
+		left.lapsedUntil = 0
+		d.gone[id] = left
+		d.changed[id] = true
+	}
+}
+
+// lapsedNow returns the lapsed back ends, for other balancers, which compare no ages of their own.
+func (d *Directory) lapsedNow(after uint64) []settings.BackendID {
+	var ids []settings.BackendID
+	for _, id := range d.lapsed {
+		if left, gone := d.gone[id]; gone && left.Revision > after {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/directory/lapse_test.go
@@ -0,0 +1,167 @@
+package directory
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gaugeyard/internal/settings"
+)
+
+const (
+	contact = 4 * time.Second
+	drain   = 3 * time.Second
+	// outage is long enough to be one, and window how long lapsed back ends are believed in.
+	outage = 5 * time.Second
+	window = 1800 * time.Millisecond
+)
+
+// confirmedLast is a directory with back ends 1 to 4, of which 4 drains, as the store confirmed at 0.
+func confirmedLast() *Directory {
+	d := New(time.Minute)
+	d.SetLapse(LapseWithin(contact, drain))
+	d.Replace(0, &Listing{Revision: 5, Records: []Record{record(1, 1), record(2, 2), record(3, 3), {Backend: backend(4, true), Revision: 4}}})
+	return d
+}
+
+// gone are changes in which back ends vanished.
+func gone(revision uint64, ids ...settings.BackendID) *Changes {
+	changes := &Changes{Revision: revision}
+	for _, id := range ids {
+		changes.Gone = append(changes.Gone, Gone{ID: id, Revision: revision})
+	}
+	return changes
+}
+
+// lapsedAt returns the back ends that may take new flows at a time though they are gone.
+func lapsedAt(d *Directory, now time.Duration) []settings.BackendID {
+	var ids []settings.BackendID
+	pool := d.View().Pool("fonts")
+	for _, member := range pool.Left {
+		if now < member.LapsedUntil && now < pool.LapsedUntil {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
+func wantLapsed(t *testing.T, d *Directory, now time.Duration, want ...settings.BackendID) {
+	t.Helper()
+	if got := lapsedAt(d, now); !slices.Equal(got, want) {
+		t.Errorf("lapsed at %v: %v, want %v", now, got, want)
+	}
+}
+
+// TestEntriesThatVanishInAnOutageLapse for a bounded time; the draining one does not.
+func TestEntriesThatVanishInAnOutageLapse(t *testing.T) {
+	d := confirmedLast()
+	if !d.NoteConfirmed(outage, 0, outage) {
+		t.Fatal("the end of an outage is not noticed")
+	}
+	d.Apply(outage, gone(8, 1, 2, 4))
+	wantLapsed(t, d, outage, 1, 2)
+	wantOpen(t, d, 3)
+	// One lapses later, as long as entries come back.
+	d.NoteConfirmed(outage+time.Second, 0, time.Second)
+	d.Apply(outage+time.Second, gone(9, 3))
+	wantLapsed(t, d, outage+window-1, 1, 2, 3)
+	wantLapsed(t, d, outage+window)
+	// After that what vanishes is gone.
+	d.Apply(outage+window, &Changes{Revision: 10, Records: []Record{record(1, 10)}})
+	d.Apply(outage+window, gone(11, 1))
+	wantLapsed(t, d, outage+window)
+}
+
+// TestAListingAfterAnOutageLapses what it does not have.
+func TestAListingAfterAnOutageLapses(t *testing.T) {
+	d := confirmedLast()
+	d.NoteConfirmed(outage, 0, outage)
+	d.Replace(outage, &Listing{Revision: 9, Records: []Record{record(2, 2)}})
+	wantLapsed(t, d, outage, 1, 3)
+}
+
+// TestASoundDepartureIsNoLapse: the store had confirmed what was believed a moment before.
+func TestASoundDepartureIsNoLapse(t *testing.T) {
+	d := confirmedLast()
+	old := time.Duration(0.6 * float64(contact))
+	if d.NoteConfirmed(old, 0, old) {
+		t.Error("a late confirmation is taken for the end of an outage")
+	}
+	d.Apply(old, gone(8, 1))
+	wantLapsed(t, d, old)
+	// Nor is one that had departed before an outage.
+	d.NoteConfirmed(old+outage, 0, outage)
+	d.Apply(old+outage, gone(9, 1, 2))
+	wantLapsed(t, d, old+outage, 2)
+}
+
+// TestALapsedBackEndIsNotBelievedInFurther once its entry is back, its address is another one's, or its
+// zone is evacuated.
+func TestALapsedBackEndIsNotBelievedInFurther(t *testing.T) {
+	d := confirmedLast()
+	d.NoteConfirmed(outage, 0, outage)
+	other := record(9, 7)
+	other.Backend.Group, other.Backend.Address = "sounds", backend(3, false).Address
+	changes := gone(8, 1, 2, 3)
+	changes.Records = []Record{other}
+	d.Apply(outage, changes)
+	wantLapsed(t, d, outage, 1, 2)
+	other = record(10, 9)
+	other.Backend.Address = backend(2, false).Address
+	d.Apply(outage, &Changes{Revision: 9, Records: []Record{other}})
+	wantLapsed(t, d, outage, 1)
+	d.Apply(outage, evacuate("a", 10))
+	wantLapsed(t, d, outage)
+	d.Apply(outage, restore("a", 11))
+	wantLapsed(t, d, outage, 1)
+	d.Apply(outage, &Changes{Revision: 12, Records: []Record{record(1, 12)}})
+	wantLapsed(t, d, outage)
+	wantOpen(t, d, 1, 10)
+}
+
+// TestOthersHearWhatLapsed, and until when: neither how late it is told nor how often makes it last longer.
+func TestOthersHearWhatLapsed(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		first, second, later := confirmedLast(), confirmedLast(), outage+time.Second
+		first.NoteConfirmed(outage, 0, outage)
+		first.Apply(outage, gone(8, 1, 4))
+		if whole {
+			second = New(time.Minute)
+			second.SetLapse(LapseWithin(contact, drain))
+		}
+		tell := func() {
+			age, returning := first.ReturnAge(later)
+			if !returning {
+				t.Fatal("the return is not told")
+			}
+			second.HearReturn(later - age)
+			if whole {
+				second.Replace(later, first.Listing())
+				return
+			}
+			changes, _ := first.Since(5, 0)
+			second.Apply(later, changes)
+		}
+		tell()
+		wantLapsed(t, second, outage+window-1, 1)
+		wantLapsed(t, second, outage+window)
+		if second.HearReturn(outage + 500*time.Millisecond) {
+			t.Error("the same return begins anew")
+		}
+		tell()
+		wantLapsed(t, second, outage+window)
+		if _, returning := first.ReturnAge(outage + window); returning {
+			t.Error("the return is told for longer than it matters")
+		}
+	}
+}
+
+// TestAFollowerTakesOthersWord on what lapsed: that it was cut off itself says nothing of the store.
+func TestAFollowerTakesOthersWord(t *testing.T) {
+	first, second := confirmedLast(), confirmedLast()
+	first.Apply(outage, gone(8, 1))
+	changes, _ := first.Since(5, 0)
+	second.NoteConfirmed(outage, 0, outage)
+	second.Apply(outage, changes)
+	wantLapsed(t, second, outage)
+}
--- a/internal/directory/tell.go
+++ b/internal/directory/tell.go
@@ -13,7 +13,7 @@
 	if after == 0 || after < d.forgotten {
 		return nil, false
 	}
-	changes = &Changes{Revision: d.revision}
+	changes = &Changes{Revision: d.revision, Told: true, Lapsed: d.lapsedNow(after)}
 	if d.settings.Revision > base {
 		if changes.Step = d.stepFrom(base); changes.Step == nil {
 			current := d.settings
@@ -38,7 +38,7 @@
 
 // Listing returns everything believed, for another balancer.
 func (d *Directory) Listing() *Listing {
-	listing := &Listing{Revision: d.revision}
+	listing := &Listing{Revision: d.revision, Told: true, Lapsed: d.lapsedNow(0)}
 	if d.settings.Revision > 0 {
 		current := d.settings
 		listing.Settings = &current
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -28,6 +28,9 @@
 	// Gone is set once the entry vanished; GoneAt is when that was learned.
 	Gone   bool
 	GoneAt time.Duration
+	// LapsedUntil is how long a gone one may take new flows all the same, since its entry vanished in
+	// an outage of the store.
+	LapsedUntil time.Duration
 	// Evacuated is set while the back end's zone takes no new flow.
 	Evacuated bool
 }
@@ -59,6 +62,8 @@
 	Open []*Member
 	// Left are those that are gone and remembered, but for evacuated zones.
 	Left []*Member
+	// LapsedUntil is how long any of Left may take new flows.
+	LapsedUntil time.Duration
 }
 
 // emptyPool stands for groups that no back end announces.
--- a/internal/edge/answers.go
+++ b/internal/edge/answers.go
@@ -104,5 +104,6 @@
 		return nil, err
 	}
 	answer.Age = time.Duration(age)
-	return answer, nil
+	answer.ReturnAge, err = readReturnAge(reply.Header)
+	return answer, err
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -119,8 +119,10 @@
 	n.notePeerAnswer(call.Peer, answer)
 	switch {
 	case answer.Listing != nil:
+		n.hearReturn(answer.ReturnAge)
 		n.replace(answer.Listing, call.Peer.String(), answer.Age)
 	case answer.Changes != nil:
+		n.hearReturn(answer.ReturnAge)
 		n.apply(answer.Changes, call.Peer.String(), answer.Age)
 	default:
 		return 0, errEmptyAnswer
@@ -189,6 +191,7 @@
 	n.withDefaults(listing.Settings)
 	n.beliefs.Lock()
 	first := n.directory.Revision() == 0
+	n.noteConfirmed(age, listing.Told)
 	n.steerBy(n.directory.Replace(n.now(), listing), from, age)
 	n.beliefs.Unlock()
 	if n.settingsKnown() {
@@ -204,6 +207,7 @@
 	n.withDefaults(changes.Settings)
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
+	n.noteConfirmed(age, changes.Told)
 	events := n.directory.Apply(n.now(), changes)
 	n.steerBy(events, from, age)
 }
@@ -276,6 +280,7 @@
 	if added > maxAddedLines {
 		n.log.Info("back ends added", "count", added, "revision", n.viewRevision.Load(), "from", from, "age_ms", age.Milliseconds())
 	}
+	n.logLapsed(events, from)
 	for _, event := range events {
 		if event.Transition == directory.BackendAdded && added > maxAddedLines {
 			continue
--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -190,6 +190,7 @@
 	}
 	if hello.Revision == n.directory.Revision() {
 		// What the store confirmed to the sender, it confirmed to this one too.
+		n.noteConfirmed(hello.StoreAge, false)
 		n.confirmed.Note(now, hello.StoreAge)
 	}
 	var reply *peers.Hello
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -15,7 +15,7 @@
 	packets, forwarded, placed *metrics.Counter
 	moved, repinned, spilled   *metrics.Counter
 	resets, waited             *metrics.Counter
-	outOfRotation              *metrics.Counter
+	outOfRotation, lapsed      *metrics.Counter
 	storeCalls, storeFailures  *metrics.Counter
 	sendFailures, linesLeftOut *metrics.Counter
 	peerCalls, peerMalformed   *metrics.Counter
@@ -37,6 +37,7 @@
 		waited:        set.NewCounter("gaugeyard_copies_waited_total"),
 		resets:        set.NewCounter("gaugeyard_flows_reset_total"),
 		outOfRotation: set.NewCounter("gaugeyard_backends_out_of_rotation_total"),
+		lapsed:        set.NewCounter("gaugeyard_backends_lapsed_total"),
 		storeCalls:    set.NewCounter("gaugeyard_store_calls_total"),
 		storeFailures: set.NewCounter("gaugeyard_store_failures_total"),
 		linesLeftOut:  set.NewCounter("gaugeyard_log_lines_left_out_total"),
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -144,6 +144,7 @@
 		alarms:     make(chan struct{}, 1),
 	}
 	n.current.Store(&config)
+	n.directory.SetLapse(directory.LapseWithin(config.Bounds.Contact, config.Bounds.Drain))
 	n.metrics = newMetrics(n)
 	return n, nil
 }
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -43,6 +43,9 @@
 	// Age is how long ago the store confirmed them. It goes in a header, since the same
 	// answer is sent to many.
 	Age time.Duration `msgpack:"-"`
+	// ReturnAge is how long ago the store returned from an outage, 0 where no back end is lapsed; in a
+	// header as well.
+	ReturnAge time.Duration `msgpack:"-"`
 	// Changes follow what the asker has; Listing stands where they are not known.
 	Changes *directory.Changes
 	Listing *directory.Listing
@@ -121,6 +124,7 @@
 	if answer.Listing == nil {
 		return errEmptyAnswer
 	}
+	n.hearReturn(answer.ReturnAge)
 	n.replace(answer.Listing, control.String(), answer.Age)
 	return nil
 }
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -6,6 +6,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"gaugeyard/internal/directory"
 )
 
 // reloadInterval is how often the settings file is looked at without a signal.
@@ -65,6 +67,7 @@
 	n.current.Store(&merged)
 	n.beliefs.Lock()
 	n.directory.Keep(departedTime(&merged))
+	n.directory.SetLapse(directory.LapseWithin(merged.Bounds.Contact, merged.Bounds.Drain))
 	n.beliefs.Unlock()
 	n.steering.Lock()
 	n.steerer.Reconfigure(steeringConfig(&merged))
--- a/internal/edge/serving.go
+++ b/internal/edge/serving.go
@@ -107,6 +107,7 @@
 func (n *Node) answerPeer(w http.ResponseWriter, q question) {
 	n.beliefs.Lock()
 	age, generation := n.beliefAge(), n.generation
+	n.tellReturnAge(w.Header())
 	n.beliefs.Unlock()
 	body, err := n.answers.get(generation, q, func() *peerAnswer { return n.answerTo(q) })
 	if err != nil {
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -98,6 +98,7 @@
 		keep = -1
 	}
 	n.directory = directory.New(keep)
+	n.directory.SetLapse(directory.LapseWithin(contactBound, drainBound))
 	n.steerer = steering.New(steering.Config{
 		Zone: n.zone, FlowLife: flowLife, LapseGrace: drainBound / 2,
 		WarmUpOvershoot: warmUpOvershoot, WarmUpSlack: warmUpSlack,
@@ -112,6 +113,7 @@
 			NoPacing:      w.options.Without.Pacing,
 			NoPace:        w.options.Without.Pace,
 			NoLoad:        w.options.Without.Load,
+			NoLapsed:      w.options.Without.Lapsed,
 			NoStandstill:  w.options.Without.Standstill,
 			NoWarmUpLimit: w.options.Without.WarmUpLimit,
 			EvenWarmUp:    w.options.Without.WarmUpPlacers,
--- a/internal/emulator/node_follow.go
+++ b/internal/emulator/node_follow.go
@@ -103,6 +103,7 @@
 		deaf.Evacuations = nil
 		listing = &deaf
 	}
+	n.noteConfirmed(age, listing.Told)
 	n.directory.Replace(n.now(), listing)
 	n.believe(age)
 }
@@ -111,6 +112,7 @@
 	if n.world.options.Without.Evacuations {
 		changes.Evacuations = nil
 	}
+	n.noteConfirmed(age, changes.Told)
 	n.directory.Apply(n.now(), changes)
 	n.believe(age)
 }
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -59,8 +59,10 @@
 	age := n.confirmed.Age(n.now())
 	changes, known := n.directory.Since(after, base)
 	listing := n.directory.Listing()
+	hearReturn := n.tellReturn()
 	return func() {
 		toAsker(func() {
+			hearReturn(asker)
 			asker.peers.Answered(asker.now(), n.control, age, listing.Revision)
 			if known {
 				asker.changed(changes, age, nil, end)
@@ -170,6 +172,7 @@
 		n.giveUp(follow.Outcome{Result: follow.Overtaken})
 	}
 	if hello.Revision == n.directory.Revision() {
+		n.noteConfirmed(hello.StoreAge, false)
 		n.confirmed.Note(n.now(), hello.StoreAge)
 	}
 	isNew := n.peers.Heard(n.now(), hello)
@@ -189,7 +192,13 @@
 	n.world.After(n.world.delay(n.zone, peer.zone), func() {
 		peer.whileRunning(0, func() {
 			listing, age := peer.directory.Listing(), peer.confirmed.Age(peer.now())
-			n.world.After(n.world.delay(n.zone, peer.zone), func() { toAsker(func() { n.replace(listing, age) }) })
+			hearReturn := peer.tellReturn()
+			n.world.After(n.world.delay(n.zone, peer.zone), func() {
+				toAsker(func() {
+					hearReturn(n)
+					n.replace(listing, age)
+				})
+			})
 		})
 	})
 }
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -21,6 +21,8 @@
 	// Busiest is the largest number of requests begun at a feed server over the
 	// mean, of servers that were there all the time; 0 when there were none.
 	Busiest float64 `json:"busiest_over_mean"`
+	// BusiestBack is the same for the time in which half of the entries come back after an outage.
+	BusiestBack float64 `json:"busiest_while_back"`
 	// Spread is the standard deviation of the same numbers over their mean.
 	Spread float64 `json:"spread_over_mean"`
 	// SmallShare is the part of lookups that ran at the smaller group of "weights".
@@ -91,6 +93,7 @@
 	result.Served = float64(served) / float64(len(w.truth.requests))
 	result.Busiest, result.Spread = w.evenness()
 	result.SmallShare = w.smallShare()
+	result.BusiestBack = w.busiestBack
 	return result
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -80,6 +80,8 @@
 	WarmUpPlacers bool
 	// Evacuations leaves the operators' word on zones unheard.
 	Evacuations bool
+	// Lapsed leaves servers alone whose entries vanished in an outage of the store.
+	Lapsed bool
 	// Differences applies a listing without what vanished since the last one.
 	Differences bool
 }
@@ -137,6 +139,8 @@
 	varied bool
 	// coldTime is how long servers warm up.
 	coldTime time.Duration
+	// busiestBack is the evenness while entries came back after an outage, 0 where none did.
+	busiestBack float64
 	// lostAnswers is the part of servers' first answers to opening packets that are lost.
 	lostAnswers float64
 }
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -108,6 +108,7 @@
 			s.addCandidate(now, hash, member, state)
 		}
 	}
+	s.addLapsed(now, hash, pool, limit, avoid)
 	if len(s.candidates) == 0 {
 		s.addLastResorts(now, hash, pool, limit)
 	}
--- a/internal/steering/config.go
+++ b/internal/steering/config.go
@@ -49,6 +49,8 @@
 	// EvenWarmUp lets each balancer of a zone send its even share of the rate to back ends there that
 	// warm up, whoever else does.
 	EvenWarmUp bool
+	// NoLapsed leaves back ends alone whose entries vanished in an outage of the store.
+	NoLapsed bool
 	// NoStandstill forwards opening packets that waited while the process stood still.
 	NoStandstill bool
 }
--- /dev/null
+++ b/internal/steering/lapsed.go
@@ -0,0 +1,41 @@
+package steering
+
+import (
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/settings"
+)
+
+// Back ends whose entries vanished in an outage of the store are candidates like others for a moment
+// after its return, so that the few whose entries are back first do not take what was meant for
+// all. What is observed here decides: one that is doubted, suspected or lost is none.
+
+// addLapsed adds the lapsed back ends of a pool that nothing speaks against.
+func (s *Steerer) addLapsed(now time.Duration, hash uint64, pool *directory.Pool, limit warmUp, avoid *backendState) {
+	if now >= pool.LapsedUntil || s.config.Mechanisms.NoLapsed {
+		return
+	}
+	for _, member := range pool.Left {
+		if now >= member.LapsedUntil {
+			continue
+		}
+		state := s.stateOf(member)
+		if state != avoid && !s.withholds(now, limit, member, state) && !state.suspected(now) && !s.doubts(now, state) {
+			s.addCandidate(now, hash, member, state)
+		}
+	}
+}
+
+// keepsLapsed tells whether copies of an opening packet may still go to a lapsed back end of the pool.
+func (s *Steerer) keepsLapsed(now time.Duration, pool *directory.Pool, id settings.BackendID) bool {
+	if now >= pool.LapsedUntil || s.config.Mechanisms.NoLapsed {
+		return false
+	}
+	for _, member := range pool.Left {
+		if member.ID == id {
+			return now < member.LapsedUntil
+		}
+	}
+	return false
+}
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -199,11 +199,15 @@
 		return false
 	}
 	for i := range service.Groups {
-		for _, member := range s.view.Pool(service.Groups[i].Discover).Open {
+		pool := s.view.Pool(service.Groups[i].Discover)
+		for _, member := range pool.Open {
 			if member.ID == known.member.ID {
 				return true
 			}
 		}
+		if s.keepsLapsed(now, pool, known.member.ID) {
+			return true
+		}
 	}
 	return false
 }
