--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -73,6 +73,8 @@
 	// vanished in an outage of the store by what that one knows.
 	Told   bool
 	Lapsed []settings.BackendID
+	// Missing are back ends that were there before an outage took their entries, by what a snapshot says.
+	Missing []Record `msgpack:"-"`
 }
 
 // Changes is what was written after an earlier revision, in order.
@@ -221,6 +223,7 @@
 		vanished = listing.Lapsed
 	}
 	d.lapseAll(now, vanished)
+	d.believeMissing(now, listing.Missing)
 	return events
 }
 
@@ -309,6 +312,9 @@
 // It tells whether there were any.
 func (d *Directory) Forget(now time.Duration) bool {
 	forgotten := false
+	if !d.returning(now) {
+		clear(d.lapsed)
+	}
 	for id, left := range d.gone {
 		if now-left.at > d.keep {
 			d.changed[id] = true
--- a/internal/directory/lapse.go
+++ b/internal/directory/lapse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"gaugeyard/internal/settings"
@@ -113,6 +114,21 @@
 	}
 }
 
+// believeMissing takes back ends that this balancer has never known for lapsed. The store has just
+// returned, as far as one can tell that knew nothing before.
+func (d *Directory) believeMissing(now time.Duration, missing []Record) {
+	if len(missing) == 0 {
+		return
+	}
+	d.noteReturn(now)
+	ids := make([]settings.BackendID, len(missing))
+	for i, record := range missing {
+		ids[i] = record.Backend.ID
+		d.rememberDeparted(now, record)
+	}
+	d.lapseAll(now, ids)
+}
+
 // endLapseAt ends the belief in a lapsed back end whose address another back end announces.
 func (d *Directory) endLapseAt(address netip.AddrPort) {
 	id, lapsed := d.lapsed[address]
@@ -135,5 +151,17 @@
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
+
+// MembershipChanged tells whether any event is of a back end that came, went, drains or no longer does.
+func MembershipChanged(events []Event) bool {
+	for i := range events {
+		switch events[i].Transition {
+		case BackendAdded, BackendGone, BackendDraining, BackendReturned:
+			return true
+		}
+	}
+	return false
+}
--- a/internal/directory/tell.go
+++ b/internal/directory/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 )
 
@@ -55,6 +56,17 @@
 	return listing
 }
 
+// Live returns how many back ends are not gone, and all of these in no order.
+func (d *Directory) Live() (count int, records iter.Seq[Record]) {
+	return len(d.live), func(yield func(Record) bool) {
+		for _, known := range d.live {
+			if !yield(known.Record) {
+				return
+			}
+		}
+	}
+}
+
 // sortRecords puts records in order of identifier, so that equal beliefs are told alike.
 func sortRecords(records []Record) {
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Backend.ID, b.Backend.ID) })
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -43,6 +43,8 @@
 	Defaults map[settings.Key]string `yaml:"defaults"`
 	// FirstStart is set when no process of this system ran before.
 	FirstStart bool `yaml:"first_start"`
+	// Snapshot is set where a snapshot of the back ends is kept in the store.
+	Snapshot bool `yaml:"snapshot"`
 }
 
 // file is the document; addresses are text there, so that each fault names its field.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -24,6 +24,7 @@
 	"gaugeyard/internal/fuzzinput"
 	"gaugeyard/internal/peers"
 	"gaugeyard/internal/settings"
+	"gaugeyard/internal/snapshot"
 	"gaugeyard/internal/steering"
 )
 
@@ -88,6 +89,8 @@
 	paged    bool
 	listed   func()
 	refusals int
+	// kept are parts of the snapshot.
+	kept []snapshot.Stored
 }
 
 // Page gives nothing but the revision on the first page of a paged listing.
@@ -106,7 +109,7 @@
 		s.refusals--
 		return nil, errors.New("too many calls")
 	}
-	return &Page{Listing: *s.listing}, nil
+	return &Page{Listing: *s.listing, Kept: s.kept}, nil
 }
 
 func (s *fakeSource) Changes(context.Context, uint64, time.Duration) (*directory.Changes, error) {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -150,6 +150,7 @@
 	if call.Kind == follow.AskPeer {
 		source = call.Peer.String()
 	}
+	n.asksStore.Store(source == "store")
 	if n.source == source {
 		return
 	}
@@ -191,7 +192,6 @@
 	n.withDefaults(listing.Settings)
 	n.beliefs.Lock()
 	first := n.directory.Revision() == 0
-	n.noteConfirmed(age, listing.Told)
 	n.steerBy(n.directory.Replace(n.now(), listing), from, age)
 	n.beliefs.Unlock()
 	if n.settingsKnown() {
@@ -222,6 +222,7 @@
 		return
 	}
 	n.generation++
+	n.noteMembership(events)
 	n.setView()
 	n.changed.wake()
 	n.logEvents(events, from, age)
--- a/internal/edge/listing.go
+++ b/internal/edge/listing.go
@@ -22,8 +22,12 @@
 	if err != nil {
 		return err
 	}
-	// The listing is complete up to the revision of its first page.
-	listing := &page.Listing
+	// The listing is complete up to the revision of its first page, and the store answered then: how long
+	// the rest takes is no outage.
+	n.beliefs.Lock()
+	n.noteConfirmed(0, false)
+	n.beliefs.Unlock()
+	listing, kept := &page.Listing, page.Kept
 	for page.Next != "" {
 		if !n.proceeds(ctx, paged) {
 			return ErrListingLeft
@@ -32,7 +36,9 @@
 			return err
 		}
 		addPage(listing, &page.Listing)
+		kept = append(kept, page.Kept...)
 	}
+	n.readSnapshot(listing, kept)
 	n.replace(listing, "store", 0)
 	return nil
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -17,38 +17,43 @@
 	resets, waited             *metrics.Counter
 	outOfRotation, lapsed      *metrics.Counter
 	storeCalls, storeFailures  *metrics.Counter
-	sendFailures, linesLeftOut *metrics.Counter
-	peerCalls, peerMalformed   *metrics.Counter
-	helloBytes, answerBytes    *metrics.Counter
-	refused, dropped           map[errkind.Kind]*metrics.Counter
-	handling                   *metrics.Histogram
+	// snapshotFaults counts parts that were not believed.
+	snapshotWrites, snapshotFailures, snapshotFaults *metrics.Counter
+	sendFailures, linesLeftOut                       *metrics.Counter
+	peerCalls, peerMalformed                         *metrics.Counter
+	helloBytes, answerBytes                          *metrics.Counter
+	refused, dropped                                 map[errkind.Kind]*metrics.Counter
+	handling                                         *metrics.Histogram
 }
 
 func newMetrics(n *Node) *processMetrics {
 	set := metrics.NewSet()
 	m := &processMetrics{
-		set:           set,
-		packets:       set.NewCounter("gaugeyard_packets_total"),
-		forwarded:     set.NewCounter("gaugeyard_packets_forwarded_total"),
-		placed:        set.NewCounter("gaugeyard_flows_placed_total"),
-		moved:         set.NewCounter("gaugeyard_flows_moved_before_opening_total"),
-		repinned:      set.NewCounter("gaugeyard_packets_kept_at_their_backend_total"),
-		spilled:       set.NewCounter("gaugeyard_flows_placed_in_another_zone_total"),
-		waited:        set.NewCounter("gaugeyard_copies_waited_total"),
-		resets:        set.NewCounter("gaugeyard_flows_reset_total"),
-		outOfRotation: set.NewCounter("gaugeyard_backends_out_of_rotation_total"),
-		lapsed:        set.NewCounter("gaugeyard_backends_lapsed_total"),
-		storeCalls:    set.NewCounter("gaugeyard_store_calls_total"),
-		storeFailures: set.NewCounter("gaugeyard_store_failures_total"),
-		linesLeftOut:  set.NewCounter("gaugeyard_log_lines_left_out_total"),
-		sendFailures:  set.NewCounter("gaugeyard_send_failures_total"),
-		peerCalls:     set.NewCounter("gaugeyard_peer_calls_total"),
-		helloBytes:    set.NewCounter("gaugeyard_peer_hello_bytes_total"),
-		answerBytes:   set.NewCounter("gaugeyard_peer_answer_bytes_total"),
-		peerMalformed: set.NewCounter("gaugeyard_peer_datagrams_malformed_total"),
-		refused:       map[errkind.Kind]*metrics.Counter{},
-		dropped:       map[errkind.Kind]*metrics.Counter{},
-		handling:      set.NewHistogram("gaugeyard_packet_handling_seconds"),
+		set:              set,
+		packets:          set.NewCounter("gaugeyard_packets_total"),
+		forwarded:        set.NewCounter("gaugeyard_packets_forwarded_total"),
+		placed:           set.NewCounter("gaugeyard_flows_placed_total"),
+		moved:            set.NewCounter("gaugeyard_flows_moved_before_opening_total"),
+		repinned:         set.NewCounter("gaugeyard_packets_kept_at_their_backend_total"),
+		spilled:          set.NewCounter("gaugeyard_flows_placed_in_another_zone_total"),
+		waited:           set.NewCounter("gaugeyard_copies_waited_total"),
+		resets:           set.NewCounter("gaugeyard_flows_reset_total"),
+		outOfRotation:    set.NewCounter("gaugeyard_backends_out_of_rotation_total"),
+		lapsed:           set.NewCounter("gaugeyard_backends_lapsed_total"),
+		snapshotWrites:   set.NewCounter("gaugeyard_snapshot_writes_total"),
+		snapshotFailures: set.NewCounter("gaugeyard_snapshot_write_failures_total"),
+		snapshotFaults:   set.NewCounter("gaugeyard_snapshot_faults_total"),
+		storeCalls:       set.NewCounter("gaugeyard_store_calls_total"),
+		storeFailures:    set.NewCounter("gaugeyard_store_failures_total"),
+		linesLeftOut:     set.NewCounter("gaugeyard_log_lines_left_out_total"),
+		sendFailures:     set.NewCounter("gaugeyard_send_failures_total"),
+		peerCalls:        set.NewCounter("gaugeyard_peer_calls_total"),
+		helloBytes:       set.NewCounter("gaugeyard_peer_hello_bytes_total"),
+		answerBytes:      set.NewCounter("gaugeyard_peer_answer_bytes_total"),
+		peerMalformed:    set.NewCounter("gaugeyard_peer_datagrams_malformed_total"),
+		refused:          map[errkind.Kind]*metrics.Counter{},
+		dropped:          map[errkind.Kind]*metrics.Counter{},
+		handling:         set.NewHistogram("gaugeyard_packet_handling_seconds"),
 	}
 	for _, kind := range errkind.All() {
 		m.refused[kind] = set.NewCounter(fmt.Sprintf("gaugeyard_flows_refused_total{reason=%q}", kind))
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -20,6 +20,7 @@
 	"gaugeyard/internal/follow"
 	"gaugeyard/internal/peers"
 	"gaugeyard/internal/settings"
+	"gaugeyard/internal/snapshot"
 	"gaugeyard/internal/steering"
 )
 
@@ -103,6 +104,11 @@
 	learning atomic.Bool
 	// leaving is set by a planned stop.
 	leaving atomic.Bool
+	// snapshots decides when the snapshot is written; it is guarded by beliefs, as is knownAt, when anything
+	// was first known. asksStore is set while the follower asks the store itself.
+	snapshots snapshot.Writer
+	knownAt   time.Duration
+	asksStore atomic.Bool
 	// failing is set while the store does not answer.
 	failing atomic.Bool
 	// waiting counts the datagrams that wait to be steered again.
@@ -200,6 +206,7 @@
 	group.Go(func() error { return n.receiveHellos(ctx) })
 	group.Go(func() error { return n.tick(ctx) })
 	group.Go(func() error { return n.pulse(ctx) })
+	group.Go(func() error { return n.keepSnapshot(ctx) })
 	group.Go(func() error {
 		defer cancel()
 		return n.awaitStop(ctx)
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -21,6 +21,7 @@
 
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/flow"
+	"gaugeyard/internal/snapshot"
 	"gaugeyard/internal/steering"
 )
 
@@ -52,11 +53,20 @@
 	Reconnect()
 }
 
+// Keeper keeps the snapshot of back ends beside what a Source reads.
+type Keeper interface {
+	// Keep stores all parts of a write, each in place of the revision that it names, or none. After an
+	// error that may not be known.
+	Keep(ctx context.Context, write *snapshot.Write) (snapshot.Outcome, error)
+}
+
 // Page is a part of everything.
 type Page struct {
 	// Listing has what is on this page. Its revision is the source's when it was read;
 	// pages are no snapshot.
 	directory.Listing
+	// Kept are parts of the snapshot.
+	Kept []snapshot.Stored
 	// Next is what the next page follows, "" after the last one.
 	Next string
 }
@@ -75,6 +85,8 @@
 type Adapter struct {
 	Codec  Codec
 	Source Source
+	// Keeper is nil where nothing is kept.
+	Keeper Keeper
 	// CallerPort is the port at which the platform takes datagrams for callers.
 	CallerPort uint16
 }
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -59,6 +59,7 @@
 		{"ready", merged.Ready, next.Ready}, {"control", merged.Control, next.Control}, {"store", merged.Store, next.Store},
 		{"advertise", merged.Advertise, next.Advertise},
 		{"peer_port", merged.PeerPort, next.PeerPort}, {"workers", merged.Workers, next.Workers}, {"ready_path", merged.ReadyPath, next.ReadyPath}, {"link_mbps", merged.LinkMbps, next.LinkMbps},
+		{"snapshot", merged.Snapshot, next.Snapshot},
 	} {
 		if field.old != field.now {
 			fixed = append(fixed, field.name)
--- a/internal/emulator/listing.go
+++ b/internal/emulator/listing.go
@@ -7,6 +7,7 @@
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/follow"
 	"gaugeyard/internal/settings"
+	"gaugeyard/internal/snapshot"
 )
 
 // storePage is how many entries of servers the store lists in one answer.
@@ -19,6 +20,8 @@
 	records  []directory.Record
 	// evacuations stand on the first page, before the servers.
 	evacuations []directory.Evacuation
+	// kept are the parts of the snapshot, before the servers as well.
+	kept []snapshot.Stored
 	// more is set where the listing goes on after last.
 	more bool
 	last settings.BackendID
@@ -44,12 +47,15 @@
 	}
 	if listing.Revision == 0 {
 		listing.Revision, listing.Settings, listing.Evacuations = answer.revision, answer.settings, answer.evacuations
+		n.kept = answer.kept
+		n.noteConfirmed(0, false)
 	}
 	listing.Records = append(listing.Records, answer.records...)
 	if answer.more {
 		n.goOnListing(paged, listing, answer.last, end)
 		return
 	}
+	n.readSnapshot(listing)
 	n.replace(listing, 0)
 	end(follow.Outcome{})
 }
@@ -103,6 +109,9 @@
 			answer.evacuations = append(answer.evacuations, directory.Evacuation{Zone: zone, Active: true, Revision: s.evacuated[zone]})
 		}
 	}
+	if !skip {
+		answer.kept = s.parts()
+	}
 	for _, server := range s.world.incarnations {
 		if skip {
 			skip = server.id != after
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -9,6 +9,7 @@
 	"gaugeyard/internal/errkind"
 	"gaugeyard/internal/follow"
 	"gaugeyard/internal/peers"
+	"gaugeyard/internal/snapshot"
 	"gaugeyard/internal/steering"
 )
 
@@ -22,6 +23,8 @@
 	releaseTime = 1900 * time.Millisecond
 	// seedCount is how many addresses of others a process is given.
 	seedCount = 3
+	// writeTimeout is how long an answer to a write of the snapshot is awaited.
+	writeTimeout = 1500 * time.Millisecond
 )
 
 var (
@@ -73,6 +76,12 @@
 	told    uint64
 	learned bool
 	lag     follow.Lag
+	// snapshots decides when the snapshot is written; kept are the parts that the last listing found, and
+	// knownAt is when anything was first known. asksStore is set while the store is followed itself.
+	snapshots snapshot.Writer
+	kept      []snapshot.Stored
+	knownAt   time.Duration
+	asksStore bool
 	// idle are the process's connections that no call uses.
 	idle map[netip.AddrPort]*connection
 	// giveUp ends the follower's present call.
@@ -93,6 +102,7 @@
 	n.startedAt, n.newest, n.confirmed, n.told, n.failing = w.Now, 0, follow.Confirmation{}, 0, false
 	n.polls, n.held, n.queue, n.giveUp, n.lag = nil, nil, nil, nil, follow.Lag{}
 	n.idle = map[netip.AddrPort]*connection{}
+	n.snapshots, n.kept, n.knownAt, n.asksStore = snapshot.Writer{}, nil, 0, false
 	keep := flowLife + drainBound
 	if w.options.Without.Departed {
 		keep = -1
@@ -176,6 +186,7 @@
 		n.setView()
 	}
 	n.steerer.Tick(now)
+	n.writeSnapshot()
 	n.peers.Forget(now)
 }
 
--- a/internal/emulator/node_follow.go
+++ b/internal/emulator/node_follow.go
@@ -26,6 +26,7 @@
 		n.finish(call, call.Wait, follow.Outcome{})
 		return
 	}
+	n.asksStore = call.Kind != follow.AskPeer
 	answered := false
 	end := func(outcome follow.Outcome) {
 		if answered {
@@ -103,8 +104,7 @@
 		deaf.Evacuations = nil
 		listing = &deaf
 	}
-	n.noteConfirmed(age, listing.Told)
-	n.directory.Replace(n.now(), listing)
+	n.noteMembership(n.directory.Replace(n.now(), listing))
 	n.believe(age)
 }
 
@@ -113,6 +113,6 @@
 		changes.Evacuations = nil
 	}
 	n.noteConfirmed(age, changes.Told)
-	n.directory.Apply(n.now(), changes)
+	n.noteMembership(n.directory.Apply(n.now(), changes))
 	n.believe(age)
 }
--- a/internal/emulator/scenario_lapse.go
+++ b/internal/emulator/scenario_lapse.go
@@ -79,3 +79,22 @@
 		}
 	})
 }
+
+// powerInOutage kills every balancer before the store is back; those that are on start soon after it.
+func (w *world) powerInOutage() {
+	const down = 1700 * time.Millisecond
+	w.At(troubleStart+faultTime-down, func() {
+		for _, n := range w.nodes {
+			n.kill(down)
+		}
+	})
+}
+
+// loseWrites leaves writes unanswered, and kills the balancer that writes now and then.
+func (w *world) loseWrites() {
+	w.store.lostWrites = 0.5
+	first := w.ranked()[0]
+	for i := range 3 {
+		w.At(trafficStart+time.Duration(i)*1300*time.Millisecond, func() { first.kill(restartTime) })
+	}
+}
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -5,6 +5,7 @@
 
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/settings"
+	"gaugeyard/internal/snapshot"
 )
 
 // storeFault is how the platform's store misbehaves.
@@ -40,7 +41,9 @@
 	record   *directory.Record
 	gone     settings.BackendID
 	zone     *directory.Evacuation
-	at       time.Duration
+	// kept is set for writes of the balancers' own.
+	kept bool
+	at   time.Duration
 }
 
 // watcher waits for changes.
@@ -64,7 +67,11 @@
 	warmAt map[settings.BackendID]time.Duration
 	// evacuated has the revision of each zone's evacuation that is in force.
 	evacuated map[string]uint64
-	history   []change
+	// kept are the parts of the snapshot.
+	kept map[int]snapshot.Stored
+	// lostWrites is the part of transactions that are done and not answered.
+	lostWrites float64
+	history    []change
 	// forgotten is up to where history is dropped.
 	forgotten uint64
 	// stalled watches hear nothing.
@@ -82,6 +89,7 @@
 		written:   map[settings.BackendID]time.Duration{},
 		warmAt:    map[settings.BackendID]time.Duration{},
 		evacuated: map[string]uint64{},
+		kept:      map[int]snapshot.Stored{},
 		unstable:  -contactBound,
 	}
 }
@@ -300,6 +308,7 @@
 			changes.Settings = c.settings
 		case c.record != nil:
 			changes.Records = append(changes.Records, *c.record)
+		case c.kept:
 		case c.zone != nil:
 			changes.Evacuations = append(changes.Evacuations, *c.zone)
 		default:
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -80,6 +80,8 @@
 	WarmUpPlacers bool
 	// Evacuations leaves the operators' word on zones unheard.
 	Evacuations bool
+	// Snapshot keeps none in the store.
+	Snapshot bool
 	// Lapsed leaves servers alone whose entries vanished in an outage of the store.
 	Lapsed bool
 	// Differences applies a listing without what vanished since the last one.
