--- a/internal/directory/tell.go
+++ b/internal/directory/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 )
 
@@ -13,7 +14,7 @@
 	if after == 0 || after < d.forgotten {
 		return nil, false
 	}
-	changes = &Changes{Revision: d.revision}
+	changes = &Changes{Revision: d.revision, Told: true, Lapsed: d.lapsedNow(after)}
 	if d.settings.Revision > base {
 		if changes.Step = d.stepFrom(base); changes.Step == nil {
 			current := d.settings
@@ -38,7 +39,7 @@
 
 // Listing returns everything believed, for another balancer.
 func (d *Directory) Listing() *Listing {
-	listing := &Listing{Revision: d.revision}
+	listing := &Listing{Revision: d.revision, Told: true, Lapsed: d.lapsedNow(0)}
 	if d.settings.Revision > 0 {
 		current := d.settings
 		listing.Settings = &current
@@ -55,6 +56,17 @@
 	return listing
 }
 
+// Live returns how many back ends are not gone, and all of these in no order.
+func (d *Directory) Live() (count int, records iter.Seq[Record]) {
+	return len(d.live), func(yield func(Record) bool) {
+		for _, known := range d.live {
+			if !yield(known.Record) {
+				return
+			}
+		}
+	}
+}
+
 // sortRecords puts records in order of identifier, so that equal beliefs are told alike.
 func sortRecords(records []Record) {
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Backend.ID, b.Backend.ID) })
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -31,6 +31,9 @@
 	// Announced is the store's revision at which it last wrote its entry; of one that is gone, that or a
 	// later one.
 	Announced uint64
+	// LapsedUntil is how long a gone one may take new flows all the same, since its entry vanished in
+	// an outage of the store.
+	LapsedUntil time.Duration
 	// Evacuated is set while the back end's zone takes no new flow.
 	Evacuated bool
 }
@@ -62,6 +65,8 @@
 	Open []*Member
 	// Left are those that are gone and remembered, but for evacuated zones.
 	Left []*Member
+	// LapsedUntil is how long any of Left may take new flows.
+	LapsedUntil time.Duration
 }
 
 // emptyPool stands for groups that no back end announces.
--- a/internal/edge/answers.go
+++ b/internal/edge/answers.go
@@ -104,6 +104,9 @@
 		return nil, fmt.Errorf("%s: %w", headerAge, err)
 	}
 	answer := &peerAnswer{Age: time.Duration(age)}
+	if answer.ReturnAge, err = readReturnAge(reply.Header); err != nil {
+		return nil, err
+	}
 	answer.received.compressed = reply.Header.Get("Content-Encoding") == encodingGzip
 	if answer.received.bytes, err = io.ReadAll(http.MaxBytesReader(nil, reply.Body, maxPeerAnswer)); err != nil {
 		return nil, err
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -119,8 +119,10 @@
 	n.notePeerAnswer(call.Peer, answer)
 	switch {
 	case answer.Listing != nil:
+		n.hearReturn(answer.ReturnAge)
 		n.replace(answer.Listing, call.Peer.String(), answer.Age)
 	case answer.Changes != nil:
+		n.hearReturn(answer.ReturnAge)
 		n.applyTold(answer, have, call.Peer.String())
 	default:
 		return 0, errEmptyAnswer
@@ -148,6 +150,7 @@
 	if call.Kind == follow.AskPeer {
 		source = call.Peer.String()
 	}
+	n.asksStore.Store(source == "store")
 	if n.source == source {
 		return
 	}
@@ -206,6 +209,7 @@
 	changes.Prepared = n.prepare(changes.Settings, changes.Step)
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
+	n.noteConfirmed(age, changes.Told)
 	events := n.directory.Apply(n.now(), changes)
 	n.steerBy(events, from, age)
 }
@@ -220,6 +224,7 @@
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
 	passedOn := n.question() == asked && changes.Settings == nil
+	n.noteConfirmed(answer.Age, changes.Told)
 	events := n.directory.Apply(n.now(), changes)
 	n.steerBy(events, from, answer.Age)
 	if step := changes.Step; passedOn && (step == nil || step.Revision == n.directory.SettingsRevision()) {
@@ -243,6 +248,7 @@
 		return
 	}
 	n.generation++
+	n.noteMembership(events)
 	n.setView()
 	n.changed.wake()
 	n.logEvents(events, from, age)
@@ -301,6 +307,7 @@
 	if added > maxAddedLines {
 		n.log.Info("back ends added", "count", added, "revision", n.viewRevision.Load(), "from", from, "age_ms", age.Milliseconds())
 	}
+	n.logLapsed(events, from)
 	for _, event := range events {
 		if event.Transition == directory.BackendAdded && added > maxAddedLines {
 			continue
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -20,6 +20,7 @@
 	"gaugeyard/internal/follow"
 	"gaugeyard/internal/peers"
 	"gaugeyard/internal/settings"
+	"gaugeyard/internal/snapshot"
 	"gaugeyard/internal/steering"
 )
 
@@ -103,6 +104,11 @@
 	learning atomic.Bool
 	// leaving is set by a planned stop.
 	leaving atomic.Bool
+	// snapshots decides when the snapshot is written; it is guarded by beliefs, as is knownAt, when anything
+	// was first known. asksStore is set while the follower asks the store itself.
+	snapshots snapshot.Writer
+	knownAt   time.Duration
+	asksStore atomic.Bool
 	// failing is set while the store does not answer.
 	failing atomic.Bool
 	// waiting counts the datagrams that wait to be steered again.
@@ -146,6 +152,7 @@
 		alarms:     make(chan struct{}, 1),
 	}
 	n.current.Store(&config)
+	n.directory.SetLapse(directory.LapseWithin(config.Bounds.Contact, config.Bounds.Drain))
 	n.metrics = newMetrics(n)
 	return n, nil
 }
@@ -201,6 +208,7 @@
 	group.Go(func() error { return n.receiveHellos(ctx) })
 	group.Go(func() error { return n.tick(ctx) })
 	group.Go(func() error { return n.pulse(ctx) })
+	group.Go(func() error { return n.keepSnapshot(ctx) })
 	group.Go(func() error {
 		defer cancel()
 		return n.awaitStop(ctx)
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -45,6 +45,9 @@
 	Age time.Duration `msgpack:"-"`
 	// received is the answer as it came.
 	received encodedAnswer
+	// ReturnAge is how long ago the store returned from an outage, 0 where no back end is lapsed; in a
+	// header as well.
+	ReturnAge time.Duration `msgpack:"-"`
 	// Changes follow what the asker has; Listing stands where they are not known.
 	Changes *directory.Changes
 	Listing *directory.Listing
@@ -123,6 +126,7 @@
 	if answer.Listing == nil {
 		return errEmptyAnswer
 	}
+	n.hearReturn(answer.ReturnAge)
 	n.replace(answer.Listing, control.String(), answer.Age)
 	return nil
 }
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -6,6 +6,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"gaugeyard/internal/directory"
 )
 
 // reloadInterval is how often the settings file is looked at without a signal.
@@ -58,6 +60,7 @@
 		{"advertise", merged.Advertise, next.Advertise},
 		{"peer_port", merged.PeerPort, next.PeerPort}, {"workers", merged.Workers, next.Workers}, {"ready_path", merged.ReadyPath, next.ReadyPath}, {"link_mbps", merged.LinkMbps, next.LinkMbps},
 		{"cpu_share", merged.CPUShare, next.CPUShare},
+		{"snapshot", merged.Snapshot, next.Snapshot},
 	} {
 		if field.old != field.now {
 			fixed = append(fixed, field.name)
@@ -66,6 +69,7 @@
 	n.current.Store(&merged)
 	n.beliefs.Lock()
 	n.directory.Keep(departedTime(&merged))
+	n.directory.SetLapse(directory.LapseWithin(merged.Bounds.Contact, merged.Bounds.Drain))
 	n.beliefs.Unlock()
 	n.steering.Lock()
 	n.steerer.Reconfigure(steeringConfig(&merged))
--- a/internal/emulator/node_follow.go
+++ b/internal/emulator/node_follow.go
@@ -26,6 +26,7 @@
 		n.finish(call, call.Wait, follow.Outcome{})
 		return
 	}
+	n.asksStore = call.Kind != follow.AskPeer
 	answered := false
 	end := func(outcome follow.Outcome) {
 		if answered {
@@ -103,7 +104,7 @@
 		deaf.Evacuations = nil
 		listing = &deaf
 	}
-	n.directory.Replace(n.now(), listing)
+	n.noteMembership(n.directory.Replace(n.now(), listing))
 	n.believe(age)
 }
 
@@ -111,6 +112,7 @@
 	if n.world.options.Without.Evacuations {
 		changes.Evacuations = nil
 	}
-	n.directory.Apply(n.now(), changes)
+	n.noteConfirmed(age, changes.Told)
+	n.noteMembership(n.directory.Apply(n.now(), changes))
 	n.believe(age)
 }
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -21,6 +21,8 @@
 	// Busiest is the largest number of requests begun at a feed server over the
 	// mean, of servers that were there all the time; 0 when there were none.
 	Busiest float64 `json:"busiest_over_mean"`
+	// BusiestBack is the same for the time in which half of the entries come back after an outage.
+	BusiestBack float64 `json:"busiest_while_back"`
 	// Spread is the standard deviation of the same numbers over their mean.
 	Spread float64 `json:"spread_over_mean"`
 	// SmallShare is the part of lookups that ran at the smaller group of a split route.
@@ -105,6 +107,7 @@
 	result.Busiest, result.Spread = w.evenness()
 	result.SmallShare = w.smallShare()
 	result.LookupsInAim = float64(lookupsInAim) / float64(max(1, lookups))
+	result.BusiestBack = w.busiestBack
 	return result
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -83,6 +83,10 @@
 	WarmUpPlacers bool
 	// Evacuations leaves the operators' word on zones unheard.
 	Evacuations bool
+	// Snapshot keeps none in the store.
+	Snapshot bool
+	// Lapsed leaves servers alone whose entries vanished in an outage of the store.
+	Lapsed bool
 	// Differences applies a listing without what vanished since the last one.
 	Differences bool
 }
@@ -142,6 +146,8 @@
 	coldTime time.Duration
 	// sharesFrom is when the shares of a split route are judged from.
 	sharesFrom time.Duration
+	// busiestBack is the evenness while entries came back after an outage, 0 where none did.
+	busiestBack float64
 	// lostAnswers is the part of servers' first answers to opening packets that are lost.
 	lostAnswers float64
 }
--- a/internal/steering/placing.go
+++ b/internal/steering/placing.go
@@ -34,15 +34,17 @@
 type tier struct {
 	from    func(pool *directory.Pool) []*directory.Member
 	filters []filter
+	// lapsed is set where back ends whose entries lapsed in an outage are candidates as well.
+	lapsed bool
 }
 
 // tiers are in order of preference: back ends that are well; those near their limit; those that are silent,
 // where no other is left; those whose entries vanished moments ago, perhaps by mistake.
 var tiers = []tier{
-	{openMembers, []filter{filterCold, filterLeft, filterSilent, filterConnections}},
-	{openMembers, []filter{filterCold, filterLeft, filterSilent, filterFull}},
-	{openMembers, []filter{filterCold, filterFull}},
-	{leftMembers, []filter{filterLapsed, filterCold, filterFull}},
+	{openMembers, []filter{filterCold, filterLeft, filterSilent, filterConnections}, true},
+	{openMembers, []filter{filterCold, filterLeft, filterSilent, filterFull}, true},
+	{openMembers, []filter{filterCold, filterFull}, false},
+	{leftMembers, []filter{filterLapsed, filterCold, filterFull}, false},
 }
 
 // scorers fill the candidates: first the work at each, then what makes the same work more.
@@ -55,24 +57,31 @@
 // gather makes those back ends candidates that a tier leaves, and tells whether there are any.
 func (s *Steerer) gather(tier int) bool {
 	s.candidates = s.candidates[:0]
-	p := &s.placing
 	from := &tiers[tier]
-	for _, member := range from.from(p.pool) {
-		state := s.stateOf(member)
-		if s.filtered(from.filters, member, state) {
-			continue
-		}
-		s.candidates = append(s.candidates, candidate{
-			member: member,
-			state:  state,
-			pace:   1,
-			score:  placement.Score(p.hash, member.ID, 1),
-			local:  member.Zone == s.config.Zone,
-		})
+	for _, member := range from.from(s.placing.pool) {
+		s.addCandidate(member, from.filters)
+	}
+	if from.lapsed {
+		s.addLapsed(from.filters)
 	}
 	return len(s.candidates) > 0
 }
 
+// addCandidate makes a back end a candidate that the filters leave.
+func (s *Steerer) addCandidate(member *directory.Member, filters []filter) {
+	state := s.stateOf(member)
+	if s.filtered(filters, member, state) {
+		return
+	}
+	s.candidates = append(s.candidates, candidate{
+		member: member,
+		state:  state,
+		pace:   1,
+		score:  placement.Score(s.placing.hash, member.ID, 1),
+		local:  member.Zone == s.config.Zone,
+	})
+}
+
 func (s *Steerer) filtered(filters []filter, member *directory.Member, state *backendState) bool {
 	for _, leavesOut := range filters {
 		if leavesOut(s, &s.placing, member, state) {
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -219,11 +219,15 @@
 		if service.Groups[i].Share <= 0 {
 			continue
 		}
-		for _, member := range s.view.Pool(service.Groups[i].Discover).Open {
+		pool := s.view.Pool(service.Groups[i].Discover)
+		for _, member := range pool.Open {
 			if member.ID == known.member.ID {
 				return true
 			}
 		}
+		if s.keepsLapsed(now, pool, known.member.ID) {
+			return true
+		}
 	}
 	return false
 }
