--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -21,7 +21,10 @@
 //	suspected        two flows without an answer               a sign of life, or 2 to 8 s
 //	lost             four callers and more ask in vain         a sign of life, or 2 s while its
 //	                                                           entry is there; flows that may be
-//	                                                           repeated are reset
+//	                                                           repeated are reset, and others that
+//	                                                           rest
+//	ended            its entry is gone, and another one        its entry comes back; all flows
+//	                 started at its address                    there are reset
 //	faulty           requests unanswered for 0.4 s             counts as load, fades in seconds
 //	out of rotation  two answers that look like failures       7 s and longer
 //	slow, cold       answers that take long, its entry         answers that do not
