--- a/internal/settings/encode_test.go
+++ b/internal/settings/encode_test.go
@@ -1,9 +1,13 @@
 package settings
 
 import (
+	"reflect"
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"gaugeyard/internal/codec"
+	"gaugeyard/internal/fuzzinput"
 )
 
 // sent returns the changes as another balancer reads them.
@@ -47,3 +51,39 @@
 		}
 	}
 }
+
+// FuzzChanges: whatever another balancer sends as changes is refused, or leads to what the changes
+// made to the whole tree lead to.
+func FuzzChanges(f *testing.F) {
+	base := discovered(f, 4)
+	grown := discovered(f, 7)
+	grown.Remove("s1")
+	_ = grown.Set("s2/any/0", KeyShare, "3")
+	var inputs [][]byte
+	for _, changes := range []Changes{Diff(base, grown), Diff(grown, base), Diff(base, Tree{}), {{Path: "s0", Key: KeyBackendsFrom, After: "s1"}}} {
+		encoded, err := msgpack.Marshal(changes)
+		if err != nil {
+			f.Fatal(err)
+		}
+		inputs = append(inputs, encoded)
+	}
+	fuzzinput.Add(f, inputs...)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var changes Changes
+		if codec.Unmarshal(data, &changes) != nil {
+			return
+		}
+		previous := Resolve(base, 1)
+		got, err := Advance(previous, 2, changes, func() {})
+		tree, withErr := base.With(changes)
+		if refused := withErr != nil || len(tree.Validate()) > 0; refused != (err != nil) {
+			t.Fatalf("%v: refused %v in pieces, %v as a whole", changes, err, refused)
+		}
+		if err != nil {
+			return
+		}
+		if want := Resolve(tree, 2); !reflect.DeepEqual(got, want) {
+			t.Fatalf("%v lead to %v, want %v", changes, got.Tree, want.Tree)
+		}
+	})
+}
