--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,6 +17,7 @@
 //
 //	d := directory.New(flowLife + drain)
 //	events := d.Replace(now, listing)         // at the start, or when history is lost
+//	changes.Prepared = d.Base().Prepare(changes.Settings, changes.Step, pause) // without a lock
 //	events = d.Apply(now, changes)            // for each answer after that
 //	steerer.SetView(d.View())                 // packets are steered by it from now on
 //	changes, known := d.Since(after, base)    // what another balancer lacks
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -16,6 +16,10 @@
 //	next, err := tree.With(changes)
 //	faults = next.ValidateFrom(snapshot, changes)
 //	snapshot = settings.ResolveFrom(snapshot, next, revision, changes)
+//
+// Or the last three in one, in pieces between which the caller does something else:
+//
+//	snapshot, err = settings.Advance(snapshot, revision, changes, pause)
 package settings
 
 import (
