A held opening packet is not placed once its caller has sent a copy

Cause: a balancer that starts keeps packets until it knows the settings. Change: the packet tells how long it was held; after the time of the next copy one of an unknown flow is dropped as stale. A test read a released datagram as bytes; it reads the field of that name now.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -61,8 +61,8 @@
 		held.keep(2*time.Second, []byte("new"))
 	}
 	released := held.release(2 * time.Second)
-	if len(released) != maxHeld-1 || string(released[0]) != "new" {
-		t.Errorf("%d datagrams are released, the first %q", len(released), released[0])
+	if len(released) != maxHeld-1 || string(released[0].datagram) != "new" {
+		t.Errorf("%d datagrams are released, the first %q", len(released), released[0].datagram)
 	}
 	if held.keep(2*time.Second, []byte("late")) {
 		t.Error("a datagram is held after the release")
--- a/internal/edge/holding.go
+++ b/internal/edge/holding.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -43,18 +44,13 @@
 }
 
 // release ends the holding and returns what is still worth sending, in order.
-func (h *holding) release(now time.Duration) [][]byte {
+func (h *holding) release(now time.Duration) []heldDatagram {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.over = true
-	var datagrams [][]byte
-	for _, held := range h.held {
-		if now-held.at <= maxHeldTime {
-			datagrams = append(datagrams, held.datagram)
-		}
-	}
+	worth := slices.DeleteFunc(h.held, func(held heldDatagram) bool { return now-held.at > maxHeldTime })
 	h.held = nil
-	return datagrams
+	return worth
 }
 
 // holds tells whether a packet that was dropped may be kept until more is known.
@@ -64,15 +60,15 @@
 
 // handleHeld decides anew on the datagrams that came before anything was known.
 func (n *Node) handleHeld() {
-	for _, datagram := range n.holding.release(n.now()) {
-		n.handleKept(datagram, false)
+	for _, held := range n.holding.release(n.now()) {
+		n.handleKept(held.datagram, &steering.Packet{Held: n.now() - held.at})
 	}
 }
 
-// handleKept decides anew on a datagram that was kept; waited is set after a verdict to wait.
-func (n *Node) handleKept(datagram []byte, waited bool) {
+// handleKept decides anew on a datagram that was kept; packet says why and how long.
+func (n *Node) handleKept(datagram []byte, packet *steering.Packet) {
 	headroom := n.adapter.Codec.Headroom()
 	buffer := make([]byte, headroom+maxDatagram)
 	length := copy(buffer[headroom:], datagram)
-	n.handle(n.now(), buffer[:headroom+length], &steering.Packet{Waited: waited}, make([]byte, maxDatagram))
+	n.handle(n.now(), buffer[:headroom+length], packet, make([]byte, maxDatagram))
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -290,7 +290,7 @@
 		started := n.now()
 		n.metrics.packets.Inc()
 		n.lastPacket.Store(int64(started))
-		packet.Waited = false
+		packet.Waited, packet.Held = false, 0
 		n.handle(started, buffer[:headroom+length], packet, answer)
 		if count%sampleEvery == 0 {
 			n.metrics.handled(started, n.now())
--- a/internal/edge/waiting.go
+++ b/internal/edge/waiting.go
@@ -23,5 +23,5 @@
 // steerAgain steers a datagram that has waited.
 func (n *Node) steerAgain(datagram []byte) {
 	defer n.waiting.Add(-1)
-	n.handleKept(datagram, true)
+	n.handleKept(datagram, &steering.Packet{Waited: true})
 }
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -95,7 +95,7 @@
 	polls []func()
 	// newest is the newest version that a packet was handled by in this run.
 	newest uint64
-	held   []*datagram
+	held   []heldDatagram
 }
 
 // countCall counts a call to the store. At the first start all list at once, whatever their machines.
@@ -105,6 +105,12 @@
 	}
 }
 
+// heldDatagram is one that came before anything was known.
+type heldDatagram struct {
+	datagram *datagram
+	at       time.Duration
+}
+
 // start begins a process that knows nothing.
 func (n *node) start() {
 	w := n.world
@@ -216,8 +222,10 @@
 	n.wakePolls()
 	held := n.held
 	n.held = nil
-	for _, d := range held {
-		n.handle(d)
+	for _, kept := range held {
+		again := *kept.datagram
+		again.Held = n.now() - kept.at
+		n.handle(&again)
 	}
 }
 
@@ -255,7 +263,7 @@
 	switch verdict.Action {
 	case steering.Drop:
 		if !n.ready {
-			n.held = append(n.held, d)
+			n.held = append(n.held, heldDatagram{d, n.now()})
 		}
 	case steering.Wait:
 		again := *d
--- /dev/null
+++ b/internal/steering/held_test.go
@@ -0,0 +1,32 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"gaugeyard/internal/errkind"
+)
+
+// TestAHeldOpeningPacketThatWasCopiedIsNotPlaced: the copy may have opened the flow through another balancer.
+func TestAHeldOpeningPacketThatWasCopiedIsNotPlaced(t *testing.T) {
+	for _, test := range []struct {
+		attempt uint32
+		held    time.Duration
+		placed  bool
+	}{
+		{0, 0, true}, {0, 150 * time.Millisecond, true}, {0, 200 * time.Millisecond, false}, {0, 900 * time.Millisecond, false},
+		{1, 350 * time.Millisecond, true}, {1, 400 * time.Millisecond, false},
+		{2, 900 * time.Millisecond, true},
+	} {
+		f := newFleet(t)
+		packet := Packet{Flow: key(1, feedAddress), Kind: Open, Attempt: test.attempt, Sequence: 7, Held: test.held}
+		verdict := f.steerer.Steer(f.now, &packet)
+		if verdict.Action == Wait {
+			packet.Waited = true
+			verdict = f.steerer.Steer(f.now+CopyWait, &packet)
+		}
+		if placed := verdict.Action == Forward; placed != test.placed || !placed && verdict.Reason != errkind.Stale {
+			t.Errorf("copy %d, held for %v: %+v", test.attempt, test.held, verdict)
+		}
+	}
+}
--- a/internal/steering/packet.go
+++ b/internal/steering/packet.go
@@ -50,6 +50,8 @@
 package steering
 
 import (
+	"time"
+
 	"gaugeyard/internal/directory"
 	"gaugeyard/internal/errkind"
 	"gaugeyard/internal/flow"
@@ -89,6 +91,9 @@
 	// Waited is set on a packet that is steered again after a verdict to wait; a decoder
 	// leaves it as it is.
 	Waited bool
+	// Held is how long the packet was kept since it came, by a balancer that knew nothing yet; a decoder
+	// leaves it as it is.
+	Held time.Duration
 }
 
 // Action says what to do with a packet.
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -163,6 +163,8 @@
 	}
 	known := s.flows[packet.Flow]
 	switch {
+	case known == nil && packet.hasBeenCopied():
+		return drop(errkind.Stale)
 	case known == nil && s.mayBePlaced(packet):
 		if packet.Attempt == 1 && s.losesAnswers() {
 			return drop(errkind.Undecided)
