--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -55,6 +55,7 @@
 	}{
 		{"calm", 0.995, 1, usual},
 		{"rolling-restart", 0.99, 0.999, usual},
+		{"servers-differ", 0.99, 0.999, usual},
 		{"release", 0.99, 0.999, usual},
 		{"release-quiet", 0.99, 0.999, usual},
 		{"config-storm", 0.99, 0.999, usual},
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -23,6 +23,9 @@
 	Busiest float64 `json:"busiest_over_mean"`
 	// Spread is the standard deviation of the same numbers over their mean.
 	Spread float64 `json:"spread_over_mean"`
+	// BusiestBySpeed is the largest time of work at a feed server over the mean, of those that were there
+	// all the time: requests begun, each by the speed of the server.
+	BusiestBySpeed float64 `json:"busiest_by_speed"`
 	// SmallShare is the part of lookups that ran at the smaller group of "weights".
 	SmallShare float64 `json:"small_share"`
 	StoreCalls int     `json:"store_calls"`
@@ -94,26 +97,27 @@
 	}
 	result.InAim = float64(inAimCount) / float64(len(w.truth.requests))
 	result.Served = float64(served) / float64(len(w.truth.requests))
-	result.Busiest, result.Spread = w.evenness()
+	result.Busiest, result.Spread, result.BusiestBySpeed = w.evenness()
 	result.SmallShare = w.smallShare()
 	return result
 }
 
 // evenness measures how evenly the feed servers were used that were there all the time: the
-// busiest, and the standard deviation, over the mean.
-func (w *world) evenness() (busiest, spread float64) {
-	var begun []float64
+// busiest, and the standard deviation, over the mean; and the busiest by time of work.
+func (w *world) evenness() (busiest, spread, bySpeed float64) {
+	var begun, work []float64
 	for _, s := range w.incarnations {
 		if s.service != serviceFeed || s.coldAt > 0 || s.crashed || s.draining || s.slow != 1 || s.hung {
 			continue
 		}
 		begun = append(begun, float64(s.begun))
+		work = append(work, float64(s.begun)/s.speed)
 	}
 	if len(begun) < 2 || floats.Sum(begun) == 0 {
-		return 0, 0
+		return 0, 0, 0
 	}
 	mean, deviation := stat.MeanStdDev(begun, nil)
-	return floats.Max(begun) / mean, deviation / mean
+	return floats.Max(begun) / mean, deviation / mean, floats.Max(work) / stat.Mean(work, nil)
 }
 
 // smallShare measures what part of the lookups after the change of weights went to the smaller
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -38,6 +38,8 @@
 	{"address-reuse", "servers crash and their addresses go to the other service", func(w *world) { w.crashServers(true) }},
 	{"servers-hang", "a third of the feed servers stand still", (*world).hangServers},
 	{"servers-slow", "a third of the feed servers are five times slower", (*world).slowServers},
+	{"servers-differ", "feed servers work at speeds of 0.6, 1.0 and 1.6", (*world).differentServers},
+	{"servers-differ-slow", "the same, and those of 1.6 turn three times slower", both((*world).differentServers, (*world).slowFastest)},
 	{"servers-grey-reset", "a third of the feed servers reset two in five requests, and are well by all else", greyServers(failReset)},
 	{"servers-errors", "a third of the feed servers answer errors at once, and are well by all else", failing(1, failError)},
 	{"servers-errors-part", "a third of the feed servers answer errors to two in five requests", failing(greyShare, failError)},
@@ -182,6 +184,25 @@
 	})
 }
 
+// differentServers gives feed servers three speeds, in turn.
+func (w *world) differentServers() {
+	w.speeds = []float64{0.6, 1, 1.6}
+	for i, s := range w.feedIncarnations() {
+		s.speed = w.speeds[i%len(w.speeds)]
+	}
+}
+
+// slowFastest lets the quickest feed servers turn slow.
+func (w *world) slowFastest() {
+	w.At(troubleStart, func() {
+		for _, s := range w.feedIncarnations() {
+			if s.speed > 1 {
+				s.slow = 3
+			}
+		}
+	})
+}
+
 // greyShare is the part of its requests that a grey server fails.
 const greyShare = 0.4
 
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -43,6 +43,8 @@
 	// hung servers stand still.
 	hung bool
 	slow float64
+	// speed is how fast it works by nature, 1 as a rule.
+	speed float64
 	// grey is the part of its requests that the server fails while all else about it is
 	// well; failing is how.
 	grey    float64
@@ -87,7 +89,7 @@
 
 func (w *world) startServer(service, zone string, address netip.AddrPort) *server {
 	s := &server{
-		world: w, service: service, zone: zone, address: address, slow: 1, shorter: 1, serveOn: serveOn,
+		world: w, service: service, zone: zone, address: address, slow: 1, speed: w.nextSpeed(service), shorter: 1, serveOn: serveOn,
 		id: settings.BackendID(w.Random.Uint64() >> 24), coldAt: w.Now, flows: map[flow.Key]*serverFlow{},
 		disturbed: -contactBound,
 	}
@@ -262,7 +264,7 @@
 	s.begun++
 	r.runs++
 	s.world.truth.ran(s, r)
-	work := float64(profiles[r.kind].work) * s.slow * (0.5 + s.world.Random.Float64())
+	work := float64(profiles[r.kind].work) * s.slow / s.speed * (0.5 + s.world.Random.Float64())
 	if s.cold() {
 		work *= coldFactor
 	}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -138,6 +138,8 @@
 	silences int
 	// varied is set where a part of the answers of all servers is short and quick.
 	varied bool
+	// speeds are those of feed servers, in turn; none stands for servers that are all alike.
+	speeds []float64
 	// coldTime is how long servers warm up.
 	coldTime time.Duration
 	// lostAnswers is the part of servers' first answers to opening packets that are lost.
@@ -215,6 +217,14 @@
 	return number < w.options.BalancersPerZone && number >= w.options.BalancersPerZone-w.options.AblePerZone
 }
 
+// nextSpeed returns the speed of the next server of a service.
+func (w *world) nextSpeed(service string) float64 {
+	if service != serviceFeed || len(w.speeds) == 0 {
+		return 1
+	}
+	return w.speeds[int(w.nextServer)%len(w.speeds)]
+}
+
 // delay is one way between two zones; an empty one is a client's.
 func (w *world) delay(from, to string) time.Duration {
 	base := crossDelay
