--- a/internal/emulator/mixed_test.go
+++ b/internal/emulator/mixed_test.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"fmt"
 	"testing"
 
 	"gaugeyard/internal/peers"
@@ -40,7 +39,7 @@
 				if share > test.most {
 					t.Errorf("seed %d: small machines make %d of %d calls to the store", seed+1, small, calls)
 				}
-				t.Log(fmt.Sprintf("seed %d: small machines make %.3f of %d calls to the store", seed+1, share, calls))
+				t.Logf("seed %d: small machines make %.3f of %d calls to the store", seed+1, share, calls)
 			}
 		})
 	}
