Read as a newcomer: names, comments that are true, one rule in one place

Tree.Set makes values of its own, since nodes of a decoded tree share theirs (a trap, no fault seen; a test that fails before).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,7 +18,7 @@
 
 const (
 	// localPart is the part of a limit that the balancers of the back end's own zone divide; they place
-	// nearly all flows there. The others divide the rest.
+	// nearly all flows there. The rest is divided by all balancers, those of the zone included, since others do not know how many these are.
 	localPart = 0.75
 	// countedTwice is how often one flow may be counted, and byChance by how many standard deviations a
 	// balancer may meet more flows than its part.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -18,7 +18,8 @@
 //
 //	d := directory.New(flowLife + drain)
 //	events := d.Replace(now, listing)         // at the start, or when history is lost
-//	changes.Prepared = d.Base().Prepare(changes.Settings, changes.Step, pause) // without a lock
+//	base := d.Base()                          // like every method of d, one caller at a time
+//	changes.Prepared = base.Prepare(changes.Settings, changes.Step, pause) // needs no lock
 //	events = d.Apply(now, changes)            // for each answer after that
 //	steerer.SetView(d.View())                 // packets are steered by it from now on
 //	changes, known := d.Since(after, base)    // what another balancer lacks
@@ -329,3 +330,14 @@
 	}
 	return forgotten
 }
+
+// MembershipChanged tells whether any event is of a back end that came, went, drains or no longer does.
+func MembershipChanged(events []Event) bool {
+	for i := range events {
+		switch events[i].Transition {
+		case BackendAdded, BackendGone, BackendDraining, BackendReturned:
+			return true
+		}
+	}
+	return false
+}
--- a/internal/directory/lapse.go
+++ b/internal/directory/lapse.go
@@ -40,6 +40,10 @@
 	}
 }
 
+// EndsInTime tells whether the belief, taken up by a process that has run for up, ends within the contact bound
+// of its start: until then it need not be in touch.
+func (l Lapse) EndsInTime(up, contact time.Duration) bool { return up+l.Window <= contact }
+
 // storeReturn is the end of the last outage of the store that is known here.
 type storeReturn struct {
 	known bool
@@ -186,14 +190,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-// MembershipChanged tells whether any event is of a back end that came, went, drains or no longer does.
-func MembershipChanged(events []Event) bool {
-	for i := range events {
-		switch events[i].Transition {
-		case BackendAdded, BackendGone, BackendDraining, BackendReturned:
-			return true
-		}
-	}
-	return false
-}
--- a/internal/edge/answers.go
+++ b/internal/edge/answers.go
@@ -118,7 +118,7 @@
 			return nil, err
 		}
 	}
-	return answer, codec.UnmarshalInPieces(plain, answer, pieceBytes, breathe)
+	return answer, codec.UnmarshalInPieces(plain, answer, pieceBytes, pauseForPackets)
 }
 
 // unpack returns what was compressed, at most maxPeerAnswer bytes of it.
--- a/internal/edge/main.go
+++ b/internal/edge/main.go
@@ -81,7 +81,7 @@
 		fmt.Fprintln(errOut, err)
 		return exitFailed
 	}
-	node.settle = func() { debug.SetGCPercent(gcPercent) }
+	node.onSettingsKnown = func() { debug.SetGCPercent(gcPercent) }
 	node.adapter = adapt(&config, node.rejected)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -104,10 +104,11 @@
 	learning atomic.Bool
 	// leaving is set by a planned stop.
 	leaving atomic.Bool
-	// snapshots decides when the snapshot is written; it is guarded by beliefs, as is knownAt, when anything
-	// was first known. asksStore is set while the follower asks the store itself.
+	// snapshots decides when the snapshot is written. It is guarded by beliefs.
 	snapshots snapshot.Writer
-	knownAt   time.Duration
+	// knownAt is when anything was first known, since started; 0 for not yet. It is guarded by beliefs.
+	knownAt time.Duration
+	// asksStore is set while the follower asks the store itself.
 	asksStore atomic.Bool
 	// failing is set while the store does not answer.
 	failing atomic.Bool
@@ -117,10 +118,10 @@
 	lastPacket atomic.Int64
 	// viewRevision is the revision that packets are steered by, for logs.
 	viewRevision atomic.Uint64
-	// settle is called once the settings are known, by the goroutine of tick; nil for nothing.
-	settle   func()
-	stop     chan struct{}
-	stopOnce sync.Once
+	// onSettingsKnown is called once the settings are known, by the goroutine of tick; nil for nothing.
+	onSettingsKnown func()
+	stop            chan struct{}
+	stopOnce        sync.Once
 }
 
 // New opens the process's data socket and makes its parts.
@@ -236,9 +237,9 @@
 			return ctx.Err()
 		case <-ticker.C:
 			n.letTimePass()
-			if n.settle != nil && n.settingsKnown() {
-				n.settle()
-				n.settle = nil
+			if n.onSettingsKnown != nil && n.settingsKnown() {
+				n.onSettingsKnown()
+				n.onSettingsKnown = nil
 			}
 		}
 	}
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -101,7 +101,7 @@
 // start, or after the outage of the store that it has met itself.
 func (n *Node) mayBelieveSnapshot() bool {
 	bounds := &n.config().Bounds
-	return n.failing.Load() || n.now()+directory.LapseWithin(bounds.Contact, bounds.Drain).Window <= bounds.Contact
+	return n.failing.Load() || directory.LapseWithin(bounds.Contact, bounds.Drain).EndsInTime(n.now(), bounds.Contact)
 }
 
 // noteMembership tells the writer of the snapshot of changes. The beliefs lock is held.
--- a/internal/peers/capacity.go
+++ b/internal/peers/capacity.go
@@ -32,7 +32,7 @@
 )
 
 // CapacityOf returns the class of a machine with a share of cores and a link, in Mbit/s. 0 is
-// unknown, and what is unknown counts as the least.
+// unknown: unknown cores make a machine Least, an unknown link counts as a narrow one.
 func CapacityOf(cores, linkMbps float64) Capacity {
 	switch {
 	case !(cores >= sparingCores):
--- a/internal/settings/advance.go
+++ b/internal/settings/advance.go
@@ -80,10 +80,10 @@
 	// done counts the work since the last pause.
 	done int
 	tree Tree
-	// touched are the services that the changes touch; services are those in order.
+	// touched are the services that the changes touch, and services the same in order.
 	touched  map[Path]bool
 	services []Path
-	// added has the groups of services that previous does not have.
+	// added has the groups that were changed; of a service that previous does not have these are all.
 	added index
 	next  *Snapshot
 }
@@ -108,11 +108,10 @@
 	var shared sharedValues
 	var emptied []Path
 	for len(changes) > 0 {
-		path, count := changes[0].Path, 1
-		for count < len(changes) && changes[count].Path == path {
-			count++
-		}
-		empty, err := a.tree.change(path, changes[:count], &shared)
+		var node []Change
+		node, changes = cutNode(changes)
+		path := node[0].Path
+		empty, err := a.tree.change(path, node, &shared)
 		if err != nil {
 			return err
 		}
@@ -121,7 +120,6 @@
 		}
 		a.note(path)
 		a.work(nodeWork)
-		changes = changes[count:]
 	}
 	a.tree.prune(emptied)
 	return nil
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -84,23 +84,30 @@
 	var shared sharedValues
 	var emptied []Path
 	for len(changes) > 0 {
-		path, count := changes[0].Path, 1
-		for count < len(changes) && changes[count].Path == path {
-			count++
-		}
-		empty, err := next.change(path, changes[:count], &shared)
+		var node []Change
+		node, changes = cutNode(changes)
+		path := node[0].Path
+		empty, err := next.change(path, node, &shared)
 		if err != nil {
 			return nil, err
 		}
 		if empty {
 			emptied = append(emptied, path)
 		}
-		changes = changes[count:]
 	}
 	next.prune(emptied)
 	return next, nil
 }
 
+// cutNode splits off the changes of the first node.
+func cutNode(changes []Change) (first, rest []Change) {
+	count := 1
+	for count < len(changes) && changes[count].Path == changes[0].Path {
+		count++
+	}
+	return changes[:count], changes[count:]
+}
+
 // change makes the changes of one node in a tree that does not share it; it tells whether the
 // node has no values any more.
 func (t Tree) change(path Path, changes []Change, shared *sharedValues) (empty bool, err error) {
--- a/internal/settings/encode_test.go
+++ b/internal/settings/encode_test.go
@@ -87,3 +87,19 @@
 		}
 	})
 }
+
+// TestSettingAValueLeavesOtherNodesAsTheyAre, though nodes of a changed tree share their values.
+func TestSettingAValueLeavesOtherNodesAsTheyAre(t *testing.T) {
+	tree, err := Tree{"": Values{}}.With([]Change{
+		{Path: "a/z/g", Key: KeyDiscover, After: "feed"}, {Path: "b/z/g", Key: KeyDiscover, After: "feed"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := tree.Set("a/z", KeyEvacuated, "true"); err != nil {
+		t.Fatal(err)
+	}
+	if tree["b/z"][KeyEvacuated] != "" || len(noValues) != 0 {
+		t.Errorf("%v, %v", tree["b/z"], noValues)
+	}
+}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -124,10 +124,13 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	if t[path] == nil {
-		t[path] = Values{}
+	// Nodes of a tree that was decoded or changed share their values.
+	values := maps.Clone(t[path])
+	if values == nil {
+		values = Values{}
 	}
-	t[path][key] = canonical
+	values[key] = canonical
+	t[path] = values
 	return nil
 }
 
--- a/internal/snapshot/codec.go
+++ b/internal/snapshot/codec.go
@@ -13,9 +13,10 @@
 // # Usage
 //
 //	var w snapshot.Writer
+//	w.Heard(parts)                                // what a listing found
 //	w.Changed()                                   // membership or draining changed
 //	if w.Due(state) {
-//		write := w.Next(count, records)           // make the call, nothing to do where it has no parts
+//		write, err := w.Next(count, records)      // make the call, nothing to do where it has no parts
 //		w.Done(now, write, snapshot.Outcome{...}) // whatever came of it
 //	}
 //
@@ -44,7 +45,7 @@
 	format = 1
 	// checksumBytes is the length of the checksum at the end.
 	checksumBytes = 8
-	// perPart is how many back ends a part has at most, on average: about 40 kB, far below what a store's
+	// perPart is how many back ends a part has at most, on average: about 31 kB, far below what a store's
 	// entry may have, and little to write anew for one that changed.
 	perPart = 1024
 	// MaxParts is how many parts there are at most: enough for a million back ends.
--- a/internal/snapshot/writer.go
+++ b/internal/snapshot/writer.go
@@ -21,7 +21,7 @@
 	// confirmedWithin is how recent the store's word must be: it does not answer else, and what is believed
 	// may be what an outage left of it.
 	confirmedWithin = 2 * time.Second
-	// maxPuts is how many parts one call writes at most: 320 kB, a third of a second over a narrow link.
+	// maxPuts is how many parts one call writes at most: 250 kB, a third of a second over a narrow link.
 	maxPuts = 8
 )
 
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -43,7 +43,7 @@
 	Doubted Observation = "back end doubted"
 	// Suspected back ends left several callers without an answer.
 	Suspected Observation = "back end suspected"
-	// Lost back ends answer nobody any more; flows that can be repeated elsewhere are reset.
+	// Lost back ends answer nobody any more; flows whose requests may be repeated are reset, and others that rest.
 	Lost Observation = "back end lost"
 	// Ended back ends are gone for certain: another one started at the address.
 	Ended Observation = "back end ended"
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -51,15 +51,16 @@
 	trial   bool
 }
 
-// round is one pass over the parts of a service: a tier of their back ends, and whether a part whose
-// back ends all fail is passed over while another one does not.
-type round struct {
-	tier  int
-	spare bool
+// pass is one look at the parts of a service.
+type pass struct {
+	// tier is an index of tiers.
+	tier int
+	// skipFailing leaves out a part whose back ends are all out of rotation, or that rests.
+	skipFailing bool
 }
 
-// rounds are in order of preference. A service with one part skips the first.
-var rounds = []round{{0, true}, {0, false}, {1, false}, {2, false}, {3, false}}
+// passes are in order of preference. A service with one part has none that skips.
+var passes = []pass{{tier: 0, skipFailing: true}, {tier: 0}, {tier: 1}, {tier: 2}, {tier: 3}}
 
 // choose picks the back end of a new flow. The part whose turn it is goes first, and another one where it
 // can take none. A flow that leaves an earlier place has had its turn.
@@ -74,13 +75,13 @@
 	if len(parts) < 2 {
 		usual = PartOnly
 	}
-	for i, round := range rounds {
-		if len(parts) < 2 && round.spare {
+	for i, pass := range passes {
+		if len(parts) < 2 && pass.skipFailing {
 			continue
 		}
 		for _, p := range parts {
 			s.placing = placing{now: now, hash: hash, group: p.group, pool: s.view.Pool(p.group.Discover), limit: s.warmUpOf(p.group), avoid: avoid}
-			able, why := s.weigh(p, round)
+			able, why := s.weigh(p, pass)
 			if able {
 				if p == parts[0] {
 					reason = usual
@@ -110,12 +111,12 @@
 }
 
 // weigh gathers and scores candidates, and tells whether they can take the flow, or why not.
-func (s *Steerer) weigh(p *part, round round) (able bool, why PartReason) {
-	if !s.gather(round.tier) {
+func (s *Steerer) weigh(p *part, pass pass) (able bool, why PartReason) {
+	if !s.gather(pass.tier) {
 		return false, s.whyNone()
 	}
 	s.score()
-	if !round.spare {
+	if !pass.skipFailing {
 		return true, PartTurn
 	}
 	// A part that is merely busy keeps its share: with few back ends a request in each slot is usual.
--- a/internal/steering/ended.go
+++ b/internal/steering/ended.go
@@ -8,9 +8,9 @@
 	"gaugeyard/internal/settings"
 )
 
-// endFlows ends flows at lost back ends: those whose callers await an answer and may ask again, and
-// once a loss those that rest and whose requests may run once alone. Their next request would be sent
-// to a back end that answers nobody, and whoever sends it on an open flow may not repeat it.
+// endFlows ends flows at lost back ends. Those whose callers await an answer end where requests may be
+// repeated. Those that rest end where requests may run only once, and only once for each loss: their next
+// request would go to a back end that answers nobody, and its caller may not repeat it.
 func (s *Steerer) endFlows(now time.Duration, lost ...*backendState) {
 	resting := lost[:0:0]
 	for _, b := range lost {
--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -30,7 +30,7 @@
 	livelyTime = 500 * time.Millisecond
 )
 
-// Reset is an established flow that is ended because its back end is lost.
+// Reset is an established flow that is ended because its back end is lost or has ended.
 type Reset struct {
 	Flow flow.Key
 	// Acknowledged is the caller's position in what it received, from which on it takes a reset.
@@ -105,8 +105,7 @@
 
 // cutOff tells whether as many back ends leave callers of this balancer without a sign of life just now
 // as show one: then it may well be this balancer that does not reach them. What others told is no sign
-// of that: with a quarter of 120 back ends silent at once, those that others had lost soon outnumbered
-// the few that one of 78 balancers hears from in half a second, and it lost none of the rest.
+// of that: in a large fleet those that others have lost soon outnumber the few that one balancer hears from.
 func (s *Steerer) cutOff(now time.Duration) bool {
 	silent, lively := 0, 0
 	for _, b := range s.backends {
--- a/internal/steering/pool.go
+++ b/internal/steering/pool.go
@@ -23,9 +23,8 @@
 	// and does not count beside another one. With 5% of the packets lost 2 of 60 runs broke FLOW else.
 	lossyPart = 0.04
 	// lossyOpenings is the same of opening packets that sound back ends answered only when the caller
-	// had sent them again. Answers to these may be lost where nothing else is: with half of them lost,
-	// and one in fifty of all else, a doubt that counted moved copies of 20 of 1,000 runs' flows to a
-	// second back end that answered as well.
+	// had sent them again. Answers to these may be lost where nothing else is: a doubt
+	// that counted would move copies to a second back end, which answers as well.
 	// A single copied opening is enough where few flows have opened: with two at the least 4 of some 450 runs
 	// broke such flows, 2 of 1,000 without.
 	lossyOpenings = 0.1
