Tests of the emulators run beside each other

Change: each top-level test of both emulators is parallel; nothing else. Runs share nothing and have a virtual clock.

--- a/internal/emulator/cold_test.go
+++ b/internal/emulator/cold_test.go
@@ -19,6 +19,7 @@
 
 // TestColdServersGetNoMoreThanTheirLimit, in zones of few and of many balancers.
 func TestColdServersGetNoMoreThanTheirLimit(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"cold-return", "cold-return-kill", "cold-return-split", "cold-return-restart", "cold-evacuation"} {
 		for _, balancers := range []int{1, 3, 14} {
 			t.Run(fmt.Sprintf("%s, %d balancers a zone", name, balancers), func(t *testing.T) {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -8,6 +8,7 @@
 
 // TestRulesHoldInEveryScenario, with both kinds of routers.
 func TestRulesHoldInEveryScenario(t *testing.T) {
+	t.Parallel()
 	for _, scenario := range Scenarios {
 		t.Run(scenario.Name, func(t *testing.T) {
 			t.Parallel()
@@ -30,6 +31,7 @@
 // answered as well, on a doubt of another balancer (77, 78, 264, 317) or since its routers had moved
 // it to one that did not know the flow (193, 296), nor yet how many answers are lost (22).
 func TestNoSecondServerAnswersWhereAnswersAreLost(t *testing.T) {
+	t.Parallel()
 	scenario, _ := Find("lossy-answers")
 	for _, seed := range []uint64{22, 77, 78, 193, 264, 296, 317} {
 		for _, violation := range Run(Options{Scenario: scenario, Seed: seed}).Violations {
@@ -40,6 +42,7 @@
 
 // TestRulesHoldInLargeZones, in which most balancers leave the store to a few when it fails.
 func TestRulesHoldInLargeZones(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"store-silent", "store-cut", "store-turns-away", "cut-sources", "connections-silent", "evacuate-dark"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -59,6 +62,7 @@
 // that the mean of several is judged: of eight, and of more where its spread is as large as what
 // lies between the bound and the mean of many seeds (kill-all: 0.002 on one seed, 0.9609 of 160).
 func TestServedShare(t *testing.T) {
+	t.Parallel()
 	const usual = 8
 	for _, test := range []struct {
 		scenario      string
@@ -113,6 +117,7 @@
 // TestEachMechanismIsNeeded turns mechanisms off and shows the rule that breaks
 // under a schedule that breaks none with them.
 func TestEachMechanismIsNeeded(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name, scenario string
 		// seed is where the search begins.
@@ -159,6 +164,7 @@
 
 // TestSomeMechanismsServeMore: what these are for shows in the requests served.
 func TestSomeMechanismsServeMore(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name, scenario string
 		without        Without
@@ -209,6 +215,7 @@
 // TestSoundAnswersTakeNobodyOutOfRotation, however much they differ: loads stay as even as without
 // the mechanism.
 func TestSoundAnswersTakeNobodyOutOfRotation(t *testing.T) {
+	t.Parallel()
 	for _, scenario := range []string{"calm", "answers-vary", "lossy"} {
 		t.Run(scenario, func(t *testing.T) {
 			t.Parallel()
@@ -222,6 +229,7 @@
 
 // TestWeightsAreKept within a few percent, by requests.
 func TestWeightsAreKept(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 4; seed++ {
 		if share := runNamed(t, "weights", seed, Without{}).SmallShare; share < 0.08 || share > 0.12 {
 			t.Errorf("seed %d: the group with a tenth of the weight has %.3f of the requests", seed, share)
@@ -231,6 +239,7 @@
 
 // TestEqualSeedsGiveEqualRuns: what a run does never depends on the order of a map.
 func TestEqualSeedsGiveEqualRuns(t *testing.T) {
+	t.Parallel()
 	for _, scenario := range []string{"chaos", "lossy", "servers-hang"} {
 		t.Run(scenario, func(t *testing.T) {
 			t.Parallel()
@@ -246,6 +255,7 @@
 
 // TestControlTrafficStaysBounded in fleets larger than a balancer's table of peers.
 func TestControlTrafficStaysBounded(t *testing.T) {
+	t.Parallel()
 	scenario, _ := Find("calm")
 	for _, perZone := range []int{3, 12, 40} {
 		result := Run(Options{Scenario: scenario, Seed: 1, BalancersPerZone: perZone})
--- a/internal/emulator/known_test.go
+++ b/internal/emulator/known_test.go
@@ -6,6 +6,7 @@
 // 695), three answers in a row are lost (234), or two flows go unanswered at a sound server by chance
 // (lossy).
 func TestNoSecondServerAnswersAtFewSigns(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		scenario string
 		seed     uint64
--- a/internal/emulator/lapse_test.go
+++ b/internal/emulator/lapse_test.go
@@ -4,6 +4,7 @@
 
 // TestFewThatAreBackFirstDoNotTakeEverything: entries that lapsed in an outage are back one by one.
 func TestFewThatAreBackFirstDoNotTakeEverything(t *testing.T) {
+	t.Parallel()
 	const seeds = 4
 	scenario, _ := Find("lapse")
 	mean := func(without Without) (busiest float64) {
@@ -22,6 +23,7 @@
 
 // TestBalancersThatLostAllFindServersInTheSnapshot, and do not crowd those that are back first.
 func TestBalancersThatLostAllFindServersInTheSnapshot(t *testing.T) {
+	t.Parallel()
 	const seeds = 4
 	scenario, _ := Find("lapse-power")
 	mean := func(without Without) (busiest float64) {
--- a/internal/emulator/mixed_test.go
+++ b/internal/emulator/mixed_test.go
@@ -9,6 +9,7 @@
 // TestAbleMachinesAskTheStore where most are small, and no rule is broken when they are lost, cut off
 // or turned away.
 func TestAbleMachinesAskTheStore(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name string
 		// most is the part of the calls to the store that small machines may make.
--- a/internal/emulator/split_test.go
+++ b/internal/emulator/split_test.go
@@ -8,6 +8,7 @@
 // TestSharesAfterTrouble: a part that was dark, empty or replaced, or whose weight was shifted, has its share
 // of the requests again, and those of the other part's turns were served meanwhile.
 func TestSharesAfterTrouble(t *testing.T) {
+	t.Parallel()
 	for scenario, c := range map[string]struct {
 		perZone int
 		least   float64
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -53,6 +53,7 @@
 // TestPromises shows, for each promise, that the run breaks it with the
 // mechanism off and keeps it with the mechanism on.
 func TestPromises(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		promise, scenario string
 		seed              uint64
@@ -119,6 +120,7 @@
 
 // TestScenariosKeepEveryPromise runs every scenario for both deployments.
 func TestScenariosKeepEveryPromise(t *testing.T) {
+	t.Parallel()
 	for _, deployment := range DeploymentNames {
 		for _, scenario := range Scenarios {
 			if scenario.Name == "overload" {
@@ -141,6 +143,7 @@
 
 // TestFoundSchedules has the seeds in which a promise was once broken.
 func TestFoundSchedules(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		cause, deployment, scenario string
 		seed                        uint64
@@ -171,6 +174,7 @@
 
 // TestOverloadAtFullSize offers three times the capacity.
 func TestOverloadAtFullSize(t *testing.T) {
+	t.Parallel()
 	on := options(t, "litera", "overload", 1)
 	on.Scale = 1
 	result := Run(on)
@@ -186,6 +190,7 @@
 
 // TestSameSeedSameTrace guards determinism, whatever the number of processors.
 func TestSameSeedSameTrace(t *testing.T) {
+	t.Parallel()
 	o := options(t, "forecast", "everything", 11)
 	before := runtime.GOMAXPROCS(1)
 	first := Run(o)
@@ -202,6 +207,7 @@
 
 // TestSchedules draws mixed schedules of faults and shrinks those that break a promise.
 func TestSchedules(t *testing.T) {
+	t.Parallel()
 	const length = 110 * time.Second
 	base := options(t, "litera", "steady", 1)
 	base.Scale = 0.15
