A server's start is told by born, and entries of other writers name no server

Cause: a server may start again under its identifier, holding nothing; what was learned of the start before stood (failures, doubt, loss, slowness, load, flows). An entry with a field missing, of another type or an unknown state was taken for a ready server, or left the old belief in force.

Change: directory.Birth with one comparison; a later entry with another birth is another start. steering begins anew for it and ends the flows that are older than the start for certain: the store had confirmed the old entry until then, and entries outlive their server by three intervals at most. Counter by reason and bounded lines.

--- a/internal/directory/build.go
+++ b/internal/directory/build.go
@@ -15,7 +15,7 @@
 	next.Revision, next.Settings, next.Version = d.revision, d.resolved, d.settings.Version
 	b := builder{view: &next, ownGroups: map[int]bool{}, ownTags: map[int]bool{}, ownPools: map[string]bool{}}
 	for id := range d.changed {
-		b.replace(d.view.member(id), d.member(id))
+		b.replace(d.view.Member(id), d.member(id))
 	}
 	clear(d.changed)
 	d.view = &next
@@ -25,10 +25,10 @@
 // member returns a back end as views hold it, nil for one that is not believed in.
 func (d *Directory) member(id settings.BackendID) *Member {
 	if known, live := d.live[id]; live {
-		return &Member{Backend: known.Backend, Tag: TagOf(id), ColdUntil: known.coldUntil, Announced: known.Revision, Evacuated: d.evacuated(&known.Backend)}
+		return &Member{Backend: known.Backend, Tag: TagOf(id), ColdUntil: known.coldUntil, StartedAfter: known.start.after, Announced: known.Revision, Evacuated: d.evacuated(&known.Backend)}
 	}
 	if left, gone := d.gone[id]; gone {
-		return &Member{Backend: left.Backend, Tag: TagOf(id), Gone: true, GoneAt: left.at, Announced: left.announced, LapsedUntil: left.lapsedUntil, Evacuated: d.evacuated(&left.Backend)}
+		return &Member{Backend: left.Backend, Tag: TagOf(id), StartedAfter: left.start.after, Gone: true, GoneAt: left.at, Announced: left.announced, LapsedUntil: left.lapsedUntil, Evacuated: d.evacuated(&left.Backend)}
 	}
 	return nil
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -36,8 +36,10 @@
 
 // Backend is one server that announced itself, by one start of it.
 type Backend struct {
-	// ID names this start of the server; a restart announces another one.
+	// ID names the server; most announce another one with each start.
 	ID settings.BackendID
+	// Born tells starts under one ID apart.
+	Born Birth
 	// Group is the name that back-end groups discover.
 	Group   string
 	Zone    string
@@ -67,9 +69,8 @@
 	Records  []Record
 	// Evacuations are what operators said of zones; a zone that is not named takes flows.
 	Evacuations []Evacuation
-	// Unreadable are back ends whose entries are there and could not be read; what is
-	// believed of them stays.
-	Unreadable []settings.BackendID
+	// Unusable are back ends whose entries are there and name no server to use.
+	Unusable []Gone
 	// Departed are back ends that are gone and may still serve flows; only
 	// listings from other balancers have any.
 	Departed []Record
@@ -93,6 +94,8 @@
 	Prepared *Prepared `msgpack:"-"`
 	Records  []Record
 	Gone     []Gone
+	// Unusable are back ends whose entries are there and name no server to use.
+	Unusable []Gone
 	// Evacuations are what operators said of zones, the newest word on each last.
 	Evacuations []Evacuation
 	// Told and Lapsed are as in a Listing, of Gone.
@@ -100,7 +103,7 @@
 	Lapsed []settings.BackendID
 }
 
-// Gone tells that the entry of a back end vanished.
+// Gone tells that the entry of a back end vanished, or names no server to use any more.
 type Gone struct {
 	ID       settings.BackendID
 	Revision uint64
@@ -117,6 +120,8 @@
 	BackendDraining Transition = "back end draining"
 	BackendReturned Transition = "back end returned"
 	BackendGone     Transition = "back end gone"
+	BackendBorn     Transition = "back end started anew"
+	BackendUnusable Transition = "back end entry unusable"
 	ZoneEvacuated   Transition = "zone evacuated"
 	ZoneRestored    Transition = "zone restored"
 )
@@ -141,6 +146,7 @@
 	Record
 	// coldUntil is when the back end's warm-up ends.
 	coldUntil time.Duration
+	start     start
 }
 
 // departed is a back end whose entry vanished.
@@ -151,6 +157,7 @@
 	announced uint64
 	// lapsedUntil is how long it may take new flows all the same, since its entry vanished in an outage.
 	lapsedUntil time.Duration
+	start       start
 }
 
 // Directory is what this balancer believes. It is not safe for concurrent use;
@@ -178,6 +185,8 @@
 	lapse    Lapse
 	returned storeReturn
 	lapsed   map[netip.AddrPort]settings.BackendID
+	// certain is when the store last confirmed what is believed, and interval how often servers write.
+	certain, interval time.Duration
 }
 
 // New returns an empty directory that remembers departed back ends for keep.
@@ -213,8 +222,9 @@
 	events := d.takeOver(nil, listing.Settings, nil, listing.Prepared)
 	events = d.replaceEvacuations(events, listing)
 	listed := make(map[settings.BackendID]bool, len(listing.Records))
-	for _, id := range listing.Unreadable {
-		listed[id] = true
+	for _, unusable := range listing.Unusable {
+		listed[unusable.ID] = true
+		events = d.applyUnusable(now, events, unusable)
 	}
 	for _, record := range listing.Records {
 		listed[record.Backend.ID] = true
@@ -259,6 +269,9 @@
 	if changes.Told {
 		vanished = changes.Lapsed
 	}
+	for _, unusable := range changes.Unusable {
+		events = d.applyUnusable(now, events, unusable)
+	}
 	d.lapseAll(now, vanished)
 	d.revision = max(d.revision, changes.Revision)
 	return events
@@ -270,15 +283,23 @@
 	if live && record.Revision <= known.Revision {
 		return events
 	}
-	if left, remembered := d.gone[id]; remembered && record.Revision <= left.Revision {
+	left, remembered := d.gone[id]
+	if remembered && record.Revision <= left.Revision {
 		return events
 	}
 	d.changed[id] = true
 	d.endLapseAt(record.Backend.Address)
 	delete(d.gone, id)
-	d.live[id] = entry{Record: record, coldUntil: now + record.Backend.WarmUp}
+	last, started := known.Backend.Born, known.start
+	if remembered {
+		last, started = left.Backend.Born, left.start
+	}
+	born := record.Backend.Born
+	d.live[id] = entry{Record: record, coldUntil: now + record.Backend.WarmUp, start: started.next(last, born, d.certain, d.interval)}
 	event := Event{Backend: record.Backend, Revision: record.Revision}
 	switch {
+	case born.Differs(last):
+		event.Transition = BackendBorn
 	case record.Backend.Draining && (!live || !known.Backend.Draining):
 		event.Transition = BackendDraining
 	case live && known.Backend.Draining && !record.Backend.Draining:
@@ -298,7 +319,7 @@
 	}
 	d.changed[gone.ID] = true
 	delete(d.live, gone.ID)
-	d.gone[gone.ID] = departed{Record: Record{known.Backend, gone.Revision}, at: now, announced: known.Revision}
+	d.gone[gone.ID] = departed{Record: Record{known.Backend, gone.Revision}, at: now, announced: known.Revision, start: known.start}
 	return append(events, Event{Transition: BackendGone, Backend: known.Backend, Revision: gone.Revision})
 }
 
@@ -309,7 +330,7 @@
 	}
 	if _, known := d.gone[record.Backend.ID]; !known {
 		d.changed[record.Backend.ID] = true
-		d.gone[record.Backend.ID] = departed{Record: record, at: now, announced: record.Revision}
+		d.gone[record.Backend.ID] = departed{Record: record, at: now, announced: record.Revision, start: start{newest: record.Backend.Born}}
 	}
 }
 
@@ -331,11 +352,11 @@
 	return forgotten
 }
 
-// MembershipChanged tells whether any event is of a back end that came, went, drains or no longer does.
+// MembershipChanged tells whether any event is of a back end that came, went, started anew, drains or no longer does.
 func MembershipChanged(events []Event) bool {
 	for i := range events {
 		switch events[i].Transition {
-		case BackendAdded, BackendGone, BackendDraining, BackendReturned:
+		case BackendAdded, BackendGone, BackendDraining, BackendReturned, BackendBorn, BackendUnusable:
 			return true
 		}
 	}
--- a/internal/directory/reuse.go
+++ b/internal/directory/reuse.go
@@ -14,7 +14,7 @@
 func (v *View) Replaced(ids []settings.BackendID) []settings.BackendID {
 	left := map[netip.AddrPort]uint64{}
 	for _, id := range ids {
-		if member := v.member(id); member != nil && member.Gone {
+		if member := v.Member(id); member != nil && member.Gone {
 			left[member.Address] = 0
 		}
 	}
@@ -32,7 +32,7 @@
 	}
 	var replaced []settings.BackendID
 	for _, id := range ids {
-		if member := v.member(id); member != nil && member.Gone && left[member.Address] > member.Announced {
+		if member := v.Member(id); member != nil && member.Gone && left[member.Address] > member.Announced {
 			replaced = append(replaced, id)
 		}
 	}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -25,6 +25,9 @@
 	Tag Tag
 	// ColdUntil is when the back end's warm-up ends.
 	ColdUntil time.Duration
+	// StartedAfter is a time before its present start: what a flow did earlier, it did with a start before. 0
+	// where no other start is known.
+	StartedAfter time.Duration
 	// Gone is set once the entry vanished; GoneAt is when that was learned.
 	Gone   bool
 	GoneAt time.Duration
@@ -100,8 +103,8 @@
 	return count
 }
 
-// member returns the back end, live or gone, or nil.
-func (v *View) member(id settings.BackendID) *Member {
+// Member returns the back end, live or gone, or nil.
+func (v *View) Member(id settings.BackendID) *Member {
 	for _, member := range v.Tagged(TagOf(id)) {
 		if member.ID == id {
 			return member
@@ -112,11 +115,11 @@
 
 // Departed tells whether the entry of a back end that the view has vanished.
 func (v *View) Departed(id settings.BackendID) bool {
-	member := v.member(id)
+	member := v.Member(id)
 	return member != nil && member.Gone
 }
 
 // Knows tells whether the view has the back end, live or gone.
 func (v *View) Knows(id settings.BackendID) bool {
-	return v.member(id) != nil
+	return v.Member(id) != nil
 }
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -69,6 +69,8 @@
 	Apply time.Duration `yaml:"apply"`
 	// Drain is the time after which a leaving back end gets no new flow.
 	Drain time.Duration `yaml:"drain"`
+	// Announce is how often back ends write their entries.
+	Announce time.Duration `yaml:"announce"`
 	// Grace is the time between the request to stop and the end by force.
 	Grace time.Duration `yaml:"grace"`
 	// FlowLife is how long a flow may live.
@@ -84,6 +86,7 @@
 	Contact:  4 * time.Second,
 	Apply:    3 * time.Second,
 	Drain:    3 * time.Second,
+	Announce: 2 * time.Second,
 	Grace:    6 * time.Second,
 	FlowLife: time.Minute,
 
@@ -189,7 +192,7 @@
 		value time.Duration
 	}{
 		{"contact", c.Bounds.Contact}, {"apply", c.Bounds.Apply}, {"drain", c.Bounds.Drain},
-		{"grace", c.Bounds.Grace}, {"flow_life", c.Bounds.FlowLife},
+		{"announce", c.Bounds.Announce}, {"grace", c.Bounds.Grace}, {"flow_life", c.Bounds.FlowLife},
 	} {
 		if bound.value <= 0 || bound.value > maxBound {
 			fault("bounds."+bound.field, "%v is not within 1ns to %v", bound.value, maxBound)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -193,6 +193,7 @@
 	listing.Prepared = n.prepare(listing.Settings, nil)
 	n.beliefs.Lock()
 	first := n.directory.Revision() == 0
+	n.noteCertain()
 	n.steerBy(n.directory.Replace(n.now(), listing), from, age)
 	n.beliefs.Unlock()
 	if n.settingsKnown() {
@@ -209,6 +210,7 @@
 	changes.Prepared = n.prepare(changes.Settings, changes.Step)
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
+	n.noteCertain()
 	n.noteConfirmed(age, changes.Told)
 	events := n.directory.Apply(n.now(), changes)
 	n.steerBy(events, from, age)
@@ -235,6 +237,7 @@
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
 	passedOn = n.question() == asked && changes.Settings == nil
+	n.noteCertain()
 	n.noteConfirmed(answer.Age, changes.Told)
 	events := n.directory.Apply(n.now(), changes)
 	n.steerBy(events, from, answer.Age)
@@ -273,6 +276,9 @@
 	n.actOn(n.now(), &seen, make([]byte, maxDatagram))
 }
 
+// noteCertain tells the directory up to when what it has is complete. The beliefs lock is held.
+func (n *Node) noteCertain() { n.directory.NoteCertain(n.now() - n.beliefAge()) }
+
 // beliefAge is how long ago the store confirmed what is believed. The beliefs lock is held.
 func (n *Node) beliefAge() time.Duration {
 	return n.confirmed.Age(n.now())
--- a/internal/edge/listing.go
+++ b/internal/edge/listing.go
@@ -50,7 +50,7 @@
 	}
 	listing.Records = append(listing.Records, page.Records...)
 	listing.Evacuations = append(listing.Evacuations, page.Evacuations...)
-	listing.Unreadable = append(listing.Unreadable, page.Unreadable...)
+	listing.Unusable = append(listing.Unusable, page.Unusable...)
 }
 
 // readPage reads one page, again where the listing says so.
--- a/internal/edge/main.go
+++ b/internal/edge/main.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+
+	"gaugeyard/internal/errkind"
 )
 
 // Exit codes of the process.
@@ -120,7 +122,9 @@
 	}
 }
 
-// rejected logs a part of the desired state that could not be read.
+// rejected counts and logs a part of the desired state that cannot be used. Of settings the last good one
+// stays in force; the entry of a back end names none.
 func (n *Node) rejected(err error) {
-	n.log.Error("entry rejected, the last good one stays in force", "revision", n.viewRevision.Load(), "error", err)
+	n.metrics.entriesRejected[errkind.Of(err)].Inc()
+	n.logFlow(&n.oddLines, "entry rejected", "revision", n.viewRevision.Load(), "error", err)
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,7 @@
 	helloBytes, answerBytes                          *metrics.Counter
 	answersPassedOn                                  *metrics.Counter
 	refused, dropped                                 map[errkind.Kind]*metrics.Counter
+	entriesRejected                                  map[errkind.Kind]*metrics.Counter
 	byPart                                           map[steering.PartReason]*metrics.Counter
 	handling                                         *metrics.Histogram
 }
@@ -53,6 +54,7 @@
 		peerMalformed:    set.NewCounter("gaugeyard_peer_datagrams_malformed_total"),
 		refused:          map[errkind.Kind]*metrics.Counter{},
 		dropped:          map[errkind.Kind]*metrics.Counter{},
+		entriesRejected:  map[errkind.Kind]*metrics.Counter{},
 		handling:         set.NewHistogram("gaugeyard_packet_handling_seconds"),
 		byPart:           map[steering.PartReason]*metrics.Counter{},
 		lapsed:           set.NewCounter("gaugeyard_backends_lapsed_total"),
@@ -64,6 +66,9 @@
 		m.refused[kind] = set.NewCounter(fmt.Sprintf("gaugeyard_flows_refused_total{reason=%q}", kind))
 		m.dropped[kind] = set.NewCounter(fmt.Sprintf("gaugeyard_packets_dropped_total{reason=%q}", kind))
 	}
+	for _, kind := range []errkind.Kind{errkind.None, errkind.Malformed, errkind.Incomplete} {
+		m.entriesRejected[kind] = set.NewCounter(fmt.Sprintf("gaugeyard_entries_rejected_total{reason=%q}", kind))
+	}
 	for _, reason := range steering.PartReasons() {
 		m.byPart[reason] = set.NewCounter(fmt.Sprintf("gaugeyard_flows_by_part_total{reason=%q}", reason))
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -154,6 +154,7 @@
 	}
 	n.current.Store(&config)
 	n.directory.SetLapse(directory.LapseWithin(config.Bounds.Contact, config.Bounds.Drain))
+	n.directory.SetInterval(config.Bounds.Announce)
 	n.metrics = newMetrics(n)
 	return n, nil
 }
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -125,6 +125,7 @@
 		keep = -1
 	}
 	n.directory = directory.New(keep)
+	n.directory.SetInterval(heartbeat)
 	n.directory.SetLapse(directory.LapseWithin(contactBound, drainBound))
 	n.steerer = steering.New(steering.Config{
 		Zone: n.zone, FlowLife: flowLife, LapseGrace: drainBound / 2,
--- a/internal/emulator/node_follow.go
+++ b/internal/emulator/node_follow.go
@@ -104,6 +104,7 @@
 		deaf.Evacuations = nil
 		listing = &deaf
 	}
+	n.directory.NoteCertain(n.now() - n.confirmed.Age(n.now()))
 	n.noteMembership(n.directory.Replace(n.now(), listing))
 	n.believe(age)
 }
@@ -112,6 +113,7 @@
 	if n.world.options.Without.Evacuations {
 		changes.Evacuations = nil
 	}
+	n.directory.NoteCertain(n.now() - n.confirmed.Age(n.now()))
 	n.noteConfirmed(age, changes.Told)
 	n.noteMembership(n.directory.Apply(n.now(), changes))
 	n.believe(age)
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -31,6 +31,7 @@
 type server struct {
 	world   *world
 	id      settings.BackendID
+	born    directory.Birth
 	service string
 	zone    string
 	address netip.AddrPort
@@ -88,9 +89,14 @@
 }
 
 func (w *world) startServer(service, zone string, address netip.AddrPort) *server {
+	return w.startServerAs(settings.BackendID(w.Random.Uint64()>>24), service, zone, address)
+}
+
+// startServerAs starts a server under an identifier, which one before may have had.
+func (w *world) startServerAs(id settings.BackendID, service, zone string, address netip.AddrPort) *server {
 	s := &server{
 		world: w, service: service, zone: zone, address: address, slow: 1, speed: w.nextSpeed(service), shorter: 1, serveOn: serveOn,
-		id: settings.BackendID(w.Random.Uint64() >> 24), coldAt: w.Now, flows: map[flow.Key]*serverFlow{},
+		id: id, born: w.birth(), coldAt: w.Now, flows: map[flow.Key]*serverFlow{},
 		disturbed: -contactBound,
 	}
 	w.servers[address] = s
@@ -99,13 +105,19 @@
 	return s
 }
 
+// birth is the time of day at a server that starts now.
+func (w *world) birth() directory.Birth {
+	const firstDay = 1_800_000_000_000
+	return directory.Birth(firstDay + (w.Now - w.clockBack).Milliseconds())
+}
+
 // heartbeat writes the server's entry.
 func (s *server) heartbeat() {
 	if s.crashed || s.hung || s.mute {
 		return
 	}
 	s.world.store.write(directory.Backend{
-		ID: s.id, Group: s.service, Zone: s.zone, Address: s.address, Slots: serverSlots,
+		ID: s.id, Born: s.born, Group: s.service, Zone: s.zone, Address: s.address, Slots: serverSlots,
 		Draining: s.draining, WarmUp: max(0, s.warmAt()-s.world.Now),
 	})
 }
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -139,7 +139,7 @@
 	}
 	s.written[backend.ID] = s.world.Now
 	known, live := s.entries[backend.ID]
-	if live && known.Backend.Draining == backend.Draining && s.world.Now+backend.WarmUp <= s.warmAt[backend.ID] {
+	if live && known.Backend.Born == backend.Born && known.Backend.Draining == backend.Draining && s.world.Now+backend.WarmUp <= s.warmAt[backend.ID] {
 		return true
 	}
 	s.revision++
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -124,6 +124,8 @@
 	routers map[string]*router
 	nodes   []*node
 	servers map[netip.AddrPort]*server
+	// clockBack is by how much the servers' time of day is set back.
+	clockBack time.Duration
 	// incarnations lists every start of a server.
 	incarnations []*server
 	clients      map[flow.Key]*clientFlow
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -3,6 +3,7 @@
 package errkind
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/zeebo/errs"
@@ -55,6 +56,8 @@
 	BackendLost
 	// Unexpected is a well-formed packet that a caller never sends.
 	Unexpected
+	// Incomplete is a part of the desired state that lacks a field, or has one that means nothing here.
+	Incomplete
 
 	kindCount
 )
@@ -124,6 +127,7 @@
 	Stale:            {"stale", Silent, RanNotTold, false},
 	BackendLost:      {"backend_lost", Timeout, RanUnknown, true},
 	Unexpected:       {"unexpected", Silent, RanNotTold, false},
+	Incomplete:       {"incomplete", Silent, RanNotTold, false},
 }
 
 // Answer returns the table row of the kind; an unknown kind has the row of OutcomeUnknown.
@@ -161,6 +165,15 @@
 	return Class.Wrap(&kindError{kind: kind, reason: fmt.Sprintf(format, arguments...)})
 }
 
+// Of returns the kind that an error carries, None where it carries none.
+func Of(err error) Kind {
+	var carried *kindError
+	if errors.As(err, &carried) {
+		return carried.kind
+	}
+	return None
+}
+
 type kindError struct {
 	kind   Kind
 	reason string
--- a/internal/snapshot/codec.go
+++ b/internal/snapshot/codec.go
@@ -41,8 +41,9 @@
 )
 
 const (
-	// format is the version of the format, the first byte of a part.
-	format = 1
+	// format is the version of the format, the first byte of a part. Others are refused: the next write
+	// replaces them, seconds after the first balancer of this version leads.
+	format = 2
 	// checksumBytes is the length of the checksum at the end.
 	checksumBytes = 8
 	// perPart is how many back ends a part has at most, on average: about 31 kB, far below what a store's
@@ -76,6 +77,7 @@
 	Address     netip.AddrPort
 	Group, Zone int
 	Slots       int
+	Born        directory.Birth
 }
 
 // partsFor returns in how many parts back ends are divided, a power of two.
@@ -97,7 +99,7 @@
 	for i := range records {
 		b := &records[i].Backend
 		written.Backends[i] = backend{
-			ID: uint64(b.ID), Revision: records[i].Revision, Address: b.Address, Slots: b.Slots,
+			ID: uint64(b.ID), Revision: records[i].Revision, Address: b.Address, Slots: b.Slots, Born: b.Born,
 			Group: groups.index(&written.Groups, b.Group), Zone: zones.index(&written.Zones, b.Zone),
 		}
 	}
@@ -173,7 +175,7 @@
 	records := make([]directory.Record, len(c.Backends))
 	for i, b := range c.Backends {
 		records[i] = directory.Record{Revision: b.Revision, Backend: directory.Backend{
-			ID: settings.BackendID(b.ID), Group: c.Groups[b.Group], Zone: c.Zones[b.Zone], Address: b.Address, Slots: b.Slots,
+			ID: settings.BackendID(b.ID), Group: c.Groups[b.Group], Zone: c.Zones[b.Zone], Address: b.Address, Slots: b.Slots, Born: b.Born,
 		}}
 	}
 	return records
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -53,6 +53,8 @@
 	// them, and BackInRotation is the end of that.
 	OutOfRotation  Observation = "back end out of rotation"
 	BackInRotation Observation = "back end back in rotation"
+	// StartedAnew back ends announced another start under their identifier.
+	StartedAnew Observation = "back end forgets its flows"
 	// Answers means that a doubted or suspected back end showed a sign of life.
 	Answers Observation = "back end answers again"
 )
@@ -73,6 +75,10 @@
 // that pass here.
 type backendState struct {
 	id settings.BackendID
+	// born tells by which start of the back end all of this was earned, and deafUntil ends the time in
+	// which what others say of it may still be of the start before.
+	born      directory.Birth
+	deafUntil time.Duration
 	// events collects observations until the driver takes them.
 	events *[]BackendEvent
 	// flows are those at the back end that the caller has not closed.
@@ -148,7 +154,7 @@
 }
 
 func (s *Steerer) newState(member *directory.Member) *backendState {
-	state := &backendState{id: member.ID, events: &s.events, pool: s.poolOf(member.Group), slowness: 1, spanned: s.firstSpan()}
+	state := &backendState{id: member.ID, born: member.Born, events: &s.events, pool: s.poolOf(member.Group), slowness: 1, spanned: s.firstSpan()}
 	s.backends[member.ID] = state
 	return state
 }
@@ -158,12 +164,17 @@
 	*b.events = append(*b.events, BackendEvent{Observation: observation, Backend: b.id, Silence: silence, Until: until})
 }
 
-// join counts a new record.
+// join counts a record that was not counted here.
 func (b *backendState) join(known *record) {
-	b.flows++
+	if !known.closed {
+		b.flows++
+	}
 	if known.opening {
 		b.opening++
 	}
+	if known.waiting {
+		b.active++
+	}
 }
 
 // leave takes a record out of the counts.
@@ -239,6 +250,9 @@
 // hearDoubt notes that another balancer doubts the back end, unless it has just
 // shown a sign of life here.
 func (b *backendState) hearDoubt(now time.Duration) {
+	if b.deaf(now) {
+		return
+	}
 	if b.progress == 0 || now-b.progress > freshProgress {
 		b.heardDoubtUntil = now + doubtTime
 	}
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -51,7 +51,9 @@
 		loads[tag] = load
 	}
 	for id, state := range s.backends {
-		state.others = loads[directory.TagOf(id)]
+		if state.others = loads[directory.TagOf(id)]; state.deaf(s.pulse) {
+			state.others = Load{}
+		}
 	}
 	for tag, load := range loads {
 		for _, member := range s.view.Tagged(tag) {
--- a/internal/steering/stalls.go
+++ b/internal/steering/stalls.go
@@ -86,7 +86,7 @@
 	var lost []*backendState
 	for _, stall := range stalls {
 		b := s.backends[stall.Backend]
-		if b == nil {
+		if b == nil || b.deaf(now) {
 			continue
 		}
 		b.hearStall(heardStall{from, stall.Callers, now - stall.Silence, now})
--- /dev/null
+++ b/internal/steering/start_test.go
@@ -0,0 +1,95 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"gaugeyard/internal/directory"
+	"gaugeyard/internal/settings"
+)
+
+// startAs announces a start of back end 1 by its birth.
+func (f *fleet) startAs(birth directory.Birth) {
+	f.revision++
+	backend := f.directory.View().Member(1).Backend
+	backend.Born = birth
+	f.directory.NoteCertain(f.now)
+	f.directory.Apply(f.now, &directory.Changes{Revision: f.revision, Records: []directory.Record{{Backend: backend, Revision: f.revision}}})
+	f.steerer.SetView(f.directory.View())
+}
+
+// at opens a flow at back end 1 and returns its caller.
+func (f *fleet) at(first int) int {
+	for caller := first; caller < first+1000; caller++ {
+		if f.opened(caller, feedAddress).ID == 1 {
+			return caller
+		}
+	}
+	f.Fatal("no flow goes to the back end")
+	return 0
+}
+
+// TestAnotherStartHoldsNothingOfTheOneBefore: flows that are older than it end, those that may have opened
+// there since stay, and nothing that was learned counts.
+func TestAnotherStartHoldsNothingOfTheOneBefore(t *testing.T) {
+	f := newFleet(t)
+	f.directory.SetInterval(time.Second)
+	f.startAs(100)
+	old := f.at(1)
+	f.pass(10 * time.Second)
+	young := f.at(2000)
+	before := f.steerer.backends[1]
+	before.failures, before.slowness, before.others.Failures = 5, 4, 5
+	before.suspectUntil = f.now + time.Minute
+	f.steerer.TakeEvents()
+	f.startAs(200)
+	resets := f.steerer.TakeResets()
+	if len(resets) == 0 {
+		t.Fatal("no flow ends")
+	}
+	ended := map[int]bool{}
+	for _, reset := range resets {
+		ip := reset.Flow.Caller.Addr().As4()
+		ended[int(ip[2])<<8|int(ip[3])] = true
+		if reset.Backend != 1 {
+			t.Errorf("a flow at %x ends", reset.Backend)
+		}
+	}
+	if !ended[old] || ended[young] {
+		t.Errorf("the old flow ends: %v, the young one: %v", ended[old], ended[young])
+	}
+	state := f.steerer.backends[1]
+	if state.failures != 0 || state.slowness != 1 || state.suspected(f.now) || state.flows == 0 || state.flows >= before.flows+len(resets)+1 {
+		t.Errorf("it has inherited %+v", state)
+	}
+	events := f.steerer.TakeEvents()
+	if len(events) != 1 || events[0].Observation != StartedAnew || events[0].Backend != 1 {
+		t.Errorf("events %+v", events)
+	}
+	// The young flow goes on.
+	if verdict := f.established(young, feedAddress, directory.TagOf(1), 1, 100); verdict.Action != Forward || verdict.Backend.ID != 1 {
+		t.Errorf("its next packet: %+v", verdict)
+	}
+}
+
+// TestWordsOfTheStartBeforeAreNotHeard for a while, since others learn of a start a moment later.
+func TestWordsOfTheStartBeforeAreNotHeard(t *testing.T) {
+	f := newFleet(t)
+	f.startAs(100)
+	f.at(1)
+	f.startAs(200)
+	hear := func() {
+		f.steerer.SetOthersDoubts(f.now, []settings.BackendID{1})
+		f.steerer.SetOthersLoad(map[directory.Tag]Load{1: {Requests: 9, Failures: 9}})
+	}
+	hear()
+	state := f.steerer.backends[1]
+	if state.doubted(f.now) || state.others != (Load{}) {
+		t.Errorf("heard at once: %+v", state)
+	}
+	f.pass(deafTime)
+	hear()
+	if !state.doubted(f.now) || state.others.Failures != 9 {
+		t.Errorf("not heard later: %+v", state)
+	}
+}
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -115,6 +115,7 @@
 // SetView takes over a newer view of the desired state.
 func (s *Steerer) SetView(view *directory.View) {
 	s.view = view
+	s.noteStarts()
 	for id, state := range s.backends {
 		if !view.Knows(id) && state.flows == 0 {
 			delete(s.backends, id)
