A fleet's back ends are told field by field and put in force in one merge

Cause: a balancer that starts reads what another one tells: 10,000 back ends with the names of all fields, each put into its place of a list of 8,000 on its own, kept twice (directory and view).

Change: directory.Records is encoded by columns, checked before it is taken; a view merges what changes in a pool once; live back ends are kept once. The paths between balancers are of version 2.

--- a/internal/directory/build.go
+++ b/internal/directory/build.go
@@ -13,11 +13,13 @@
 func (d *Directory) View() *View {
 	next := *d.view
 	next.Revision, next.Settings, next.Version = d.revision, d.resolved, d.settings.Version
-	b := builder{view: &next, ownGroups: map[int]bool{}, ownTags: map[int]bool{}, ownPools: map[string]bool{}}
+	b := builder{view: &next, ownGroups: map[int]bool{}, ownTags: map[int]bool{}, pools: map[string]*poolChange{}}
 	for id := range d.changed {
 		b.replace(d.view.Member(id), d.member(id))
 	}
-	clear(d.changed)
+	b.changePools()
+	// A table that was large once would take as long to clear and to go through for a single change.
+	d.changed = map[settings.BackendID]bool{}
 	d.view = &next
 	return d.view
 }
@@ -25,7 +27,13 @@
 // member returns a back end as views hold it, nil for one that is not believed in.
 func (d *Directory) member(id settings.BackendID) *Member {
 	if known, live := d.live[id]; live {
-		return &Member{Backend: known.Backend, Tag: TagOf(id), ColdUntil: known.coldUntil, StartedAfter: known.start.after, Announced: known.Revision, Evacuated: d.evacuated(&known.Backend)}
+		if evacuated := d.evacuated(&known.member.Backend); evacuated != known.member.Evacuated {
+			member := *known.member
+			member.Evacuated = evacuated
+			known.member = &member
+			d.live[id] = known
+		}
+		return known.member
 	}
 	if left, gone := d.gone[id]; gone {
 		return &Member{Backend: left.Backend, Tag: TagOf(id), StartedAfter: left.start.after, Gone: true, GoneAt: left.at, Announced: left.announced, LapsedUntil: left.lapsedUntil, Evacuated: d.evacuated(&left.Backend)}
@@ -38,15 +46,22 @@
 type builder struct {
 	view               *View
 	ownGroups, ownTags map[int]bool
-	ownPools           map[string]bool
+	pools              map[string]*poolChange
+}
+
+// poolChange is what changes in the pool of one group. Its lists are merged with those of the pool once, so
+// that a start among 10,000 back ends does not move half of a list for each of them.
+type poolChange struct {
+	out        []settings.BackendID
+	open, left []*Member
 }
 
 // replace puts a back end in the place of what was believed of it; nil is none.
 func (b *builder) replace(before, after *Member) {
 	if before != nil {
 		b.setTagged(before.Tag, without(slices.Clone(b.view.Tagged(before.Tag)), before.ID))
-		pool := b.pool(before.Group)
-		pool.Open, pool.Left = without(pool.Open, before.ID), without(pool.Left, before.ID)
+		change := b.pool(before.Group)
+		change.out = append(change.out, before.ID)
 	}
 	if after == nil {
 		return
@@ -55,13 +70,12 @@
 	if after.Draining || after.Evacuated {
 		return
 	}
-	pool := b.pool(after.Group)
+	change := b.pool(after.Group)
 	if after.Gone {
-		pool.Left = with(pool.Left, after)
-		pool.LapsedUntil = max(pool.LapsedUntil, after.LapsedUntil)
+		change.left = append(change.left, after)
 		return
 	}
-	pool.Open = with(pool.Open, after)
+	change.open = append(change.open, after)
 }
 
 func (b *builder) setTagged(tag Tag, members []*Member) {
@@ -77,19 +91,50 @@
 	b.view.tags[part][tag] = members
 }
 
-// pool returns the pool of a group, which may be changed.
-func (b *builder) pool(group string) *Pool {
-	part := groupPart(group)
-	if !b.ownGroups[part] {
-		b.ownGroups[part] = true
-		b.view.groups[part] = cloneOrNew(b.view.groups[part])
+// pool returns what changes in the pool of a group.
+func (b *builder) pool(group string) *poolChange {
+	if b.pools[group] == nil {
+		b.pools[group] = &poolChange{}
 	}
-	if !b.ownPools[group] {
-		b.ownPools[group] = true
+	return b.pools[group]
+}
+
+// changePools carries out what changes in pools.
+func (b *builder) changePools() {
+	for group, change := range b.pools {
+		part := groupPart(group)
+		if !b.ownGroups[part] {
+			b.ownGroups[part] = true
+			b.view.groups[part] = cloneOrNew(b.view.groups[part])
+		}
 		known := b.view.Pool(group)
-		b.view.groups[part][group] = &Pool{Open: slices.Clone(known.Open), Left: slices.Clone(known.Left), LapsedUntil: known.LapsedUntil}
+		next := &Pool{LapsedUntil: known.LapsedUntil}
+		slices.Sort(change.out)
+		next.Open, next.Left = merged(known.Open, change.out, change.open), merged(known.Left, change.out, change.left)
+		for _, member := range change.left {
+			next.LapsedUntil = max(next.LapsedUntil, member.LapsedUntil)
+		}
+		b.view.groups[part][group] = next
+	}
+}
+
+// merged returns the members without those that are out, which are in order, and with more, in order of identifier.
+func merged(members []*Member, out []settings.BackendID, more []*Member) []*Member {
+	slices.SortFunc(more, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	list := make([]*Member, 0, len(members)+len(more))
+	for _, member := range members {
+		for len(out) > 0 && out[0] < member.ID {
+			out = out[1:]
+		}
+		if len(out) > 0 && out[0] == member.ID {
+			continue
+		}
+		for len(more) > 0 && more[0].ID < member.ID {
+			list, more = append(list, more[0]), more[1:]
+		}
+		list = append(list, member)
 	}
-	return b.view.groups[part][group]
+	return append(list, more...)
 }
 
 func cloneOrNew[K comparable, V any](m map[K]V) map[K]V {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -26,7 +26,6 @@
 package directory
 
 import (
-	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -66,14 +65,14 @@
 	Settings *Settings
 	// Prepared is Settings prepared beforehand, nil where they were not.
 	Prepared *Prepared `msgpack:"-"`
-	Records  []Record
+	Records  Records
 	// Evacuations are what operators said of zones; a zone that is not named takes flows.
 	Evacuations []Evacuation
 	// Unusable are back ends whose entries are there and name no server to use.
 	Unusable []Gone
 	// Departed are back ends that are gone and may still serve flows; only
 	// listings from other balancers have any.
-	Departed []Record
+	Departed Records
 	// Told is set in what another balancer tells, and Lapsed are those of Departed whose entries
 	// vanished in an outage of the store by what that one knows.
 	Told   bool
@@ -92,7 +91,7 @@
 	Step *Step
 	// Prepared is Settings or Step prepared beforehand, nil where they were not.
 	Prepared *Prepared `msgpack:"-"`
-	Records  []Record
+	Records  Records
 	Gone     []Gone
 	// Unusable are back ends whose entries are there and name no server to use.
 	Unusable []Gone
@@ -134,8 +133,8 @@
 // Event is one transition with what it is about.
 type Event struct {
 	Transition Transition
-	// Backend is set where the transition is of a back end.
-	Backend Backend
+	// Backend is set where the transition is of a back end. It is read-only.
+	Backend *Backend
 	// Zone is set where it is of a zone.
 	Zone string
 	// Revision is the store's revision that decided.
@@ -146,14 +145,16 @@
 	Err error
 }
 
-// entry is a live back end.
+// entry is a live back end, once for the directory and the views: of 10,000 it is a third of what a
+// balancer keeps.
 type entry struct {
-	Record
-	// coldUntil is when the back end's warm-up ends.
-	coldUntil time.Duration
-	start     start
+	member *Member
+	start  start
 }
 
+// record is the back end as it was told.
+func (e entry) record() Record { return Record{e.member.Backend, e.member.Announced} }
+
 // departed is a back end whose entry vanished.
 type departed struct {
 	Record
@@ -227,6 +228,11 @@
 	events := d.takeOver(nil, listing.Settings, nil, listing.Prepared)
 	events = d.replaceEvacuations(events, listing)
 	listed := make(map[settings.BackendID]bool, len(listing.Records))
+	if len(d.live) == 0 {
+		// A start: the table has its size at once, and the list of events too.
+		d.live = make(map[settings.BackendID]entry, len(listing.Records))
+		events = slices.Grow(events, len(listing.Records))
+	}
 	for _, unusable := range listing.Unusable {
 		listed[unusable.ID] = true
 		events = d.applyUnusable(now, events, unusable)
@@ -236,12 +242,15 @@
 		events = d.applyRecord(now, events, record)
 	}
 	var vanished []settings.BackendID
-	for _, id := range slices.Sorted(maps.Keys(d.live)) {
-		if !listed[id] && d.live[id].Revision <= listing.Revision {
-			events = d.applyGone(now, events, Gone{ID: id, Revision: listing.Revision})
+	for id, known := range d.live {
+		if !listed[id] && known.member.Announced <= listing.Revision {
 			vanished = append(vanished, id)
 		}
 	}
+	slices.Sort(vanished)
+	for _, id := range vanished {
+		events = d.applyGone(now, events, Gone{ID: id, Revision: listing.Revision})
+	}
 	if listing.Told {
 		vanished = listing.Lapsed
 	}
@@ -285,7 +294,7 @@
 func (d *Directory) applyRecord(now time.Duration, events []Event, record Record) []Event {
 	id := record.Backend.ID
 	known, live := d.live[id]
-	if live && record.Revision <= known.Revision {
+	if live && record.Revision <= known.member.Announced {
 		return events
 	}
 	left, remembered := d.gone[id]
@@ -295,19 +304,28 @@
 	d.changed[id] = true
 	d.endLapseAt(record.Backend.Address)
 	delete(d.gone, id)
-	last, started := known.Backend.Born, known.start
-	if remembered {
-		last, started = left.Backend.Born, left.start
+	var last Backend
+	begun := known.start
+	switch {
+	case live:
+		last = known.member.Backend
+	case remembered:
+		last, begun = left.Backend, left.start
 	}
 	born := record.Backend.Born
-	d.live[id] = entry{Record: record, coldUntil: now + record.Backend.WarmUp, start: started.next(last, born, d.certain, d.interval)}
-	event := Event{Backend: record.Backend, Revision: record.Revision}
+	begun = begun.next(last.Born, born, d.certain, d.interval)
+	member := &Member{
+		Backend: record.Backend, Tag: TagOf(id), ColdUntil: now + record.Backend.WarmUp, StartedAfter: begun.after,
+		Announced: record.Revision, Evacuated: d.evacuated(&record.Backend),
+	}
+	d.live[id] = entry{member, begun}
+	event := Event{Backend: &member.Backend, Revision: record.Revision}
 	switch {
-	case born.Differs(last):
+	case born.Differs(last.Born):
 		event.Transition = BackendBorn
-	case record.Backend.Draining && (!live || !known.Backend.Draining):
+	case record.Backend.Draining && (!live || !last.Draining):
 		event.Transition = BackendDraining
-	case live && known.Backend.Draining && !record.Backend.Draining:
+	case live && last.Draining && !record.Backend.Draining:
 		event.Transition = BackendReturned
 	case !live:
 		event.Transition = BackendAdded
@@ -319,13 +337,13 @@
 
 func (d *Directory) applyGone(now time.Duration, events []Event, gone Gone) []Event {
 	known, live := d.live[gone.ID]
-	if !live || gone.Revision < known.Revision {
+	if !live || gone.Revision < known.member.Announced {
 		return events
 	}
 	d.changed[gone.ID] = true
 	delete(d.live, gone.ID)
-	d.gone[gone.ID] = departed{Record: Record{known.Backend, gone.Revision}, at: now, announced: known.Revision, start: known.start}
-	return append(events, Event{Transition: BackendGone, Backend: known.Backend, Revision: gone.Revision})
+	d.gone[gone.ID] = departed{Record: Record{known.member.Backend, gone.Revision}, at: now, announced: known.member.Announced, start: known.start}
+	return append(events, Event{Transition: BackendGone, Backend: &known.member.Backend, Revision: gone.Revision})
 }
 
 // rememberDeparted takes over from another balancer that a back end is gone.
--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -50,7 +50,7 @@
 // changeZone lets the next view have all back ends of a zone anew.
 func (d *Directory) changeZone(zone string) {
 	for id, known := range d.live {
-		if known.Backend.Zone == zone {
+		if known.member.Zone == zone {
 			d.changed[id] = true
 		}
 	}
--- a/internal/directory/lapse.go
+++ b/internal/directory/lapse.go
@@ -136,7 +136,7 @@
 		}
 	}
 	for _, known := range d.live {
-		delete(last, known.Backend.Address)
+		delete(last, known.member.Address)
 	}
 	for id, left := range d.gone {
 		if current, asked := last[left.Backend.Address]; asked && left.announced > d.gone[current].announced {
--- a/internal/directory/tell.go
+++ b/internal/directory/tell.go
@@ -22,8 +22,8 @@
 		}
 	}
 	for _, known := range d.live {
-		if known.Revision > after {
-			changes.Records = append(changes.Records, known.Record)
+		if known.member.Announced > after {
+			changes.Records = append(changes.Records, known.record())
 		}
 	}
 	for id, left := range d.gone {
@@ -45,7 +45,7 @@
 		listing.Settings = &current
 	}
 	for _, known := range d.live {
-		listing.Records = append(listing.Records, known.Record)
+		listing.Records = append(listing.Records, known.record())
 	}
 	for _, left := range d.gone {
 		listing.Departed = append(listing.Departed, left.Record)
@@ -60,7 +60,7 @@
 func (d *Directory) Live() (count int, records iter.Seq[Record]) {
 	return len(d.live), func(yield func(Record) bool) {
 		for _, known := range d.live {
-			if !yield(known.Record) {
+			if !yield(known.record()) {
 				return
 			}
 		}
--- a/internal/directory/view_bench_test.go
+++ b/internal/directory/view_bench_test.go
@@ -19,9 +19,9 @@
 			d := New(keep)
 			for i := range backends {
 				address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 80)
-				d.live[settings.BackendID(i+1)] = entry{Record: Record{Backend: Backend{
+				d.live[settings.BackendID(i+1)] = entry{member: &Member{Backend: Backend{
 					ID: settings.BackendID(i + 1), Group: fmt.Sprintf("g%d", i/100), Zone: "a", Address: address, Slots: 2,
-				}, Revision: 1}}
+				}, Tag: TagOf(settings.BackendID(i + 1)), Announced: 1}}
 				d.changed[settings.BackendID(i+1)] = true
 			}
 			view := d.View()
@@ -46,9 +46,9 @@
 			d := New(keep)
 			for i := range backends {
 				address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 80)
-				d.live[settings.BackendID(i+1)] = entry{Record: Record{Backend: Backend{
+				d.live[settings.BackendID(i+1)] = entry{member: &Member{Backend: Backend{
 					ID: settings.BackendID(i + 1), Group: fmt.Sprintf("g%d", i/100), Zone: fmt.Sprintf("z%d", i%zones), Address: address, Slots: 2,
-				}, Revision: 1}}
+				}, Tag: TagOf(settings.BackendID(i + 1)), Announced: 1}}
 				d.changed[settings.BackendID(i+1)] = true
 			}
 			d.View()
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -13,10 +13,11 @@
 	"gaugeyard/internal/follow"
 )
 
-// Paths between balancers, on the control address.
+// Paths between balancers, on the control address. Their version is that of what is told: one of another
+// version is told that there is nothing, and asks the store.
 const (
-	pathDirectory = "/v1/directory"
-	pathChanges   = "/v1/changes"
+	pathDirectory = "/v2/directory"
+	pathChanges   = "/v2/changes"
 )
 
 const (
