--- a/internal/directory/build.go
+++ b/internal/directory/build.go
@@ -13,6 +13,7 @@
 func (d *Directory) View() *View {
 	next := *d.view
 	next.Revision, next.Settings, next.Version = d.revision, d.resolved, d.settings.Version
+	next.of, next.serial, next.changed = d, d.view.serial+1, slices.Collect(maps.Keys(d.changed))
 	b := builder{view: &next, ownGroups: map[int]bool{}, ownTags: map[int]bool{}, pools: map[string]*poolChange{}}
 	for id := range d.changed {
 		b.replace(d.view.Member(id), d.member(id))
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -53,6 +53,16 @@
 	// copying the parts that changed alone.
 	groups [viewParts]map[string]*Pool
 	tags   [viewParts]map[Tag][]*Member
+	// of is the directory that built the view as its serial-th, and changed what differs from the one before.
+	of      *Directory
+	serial  uint64
+	changed []settings.BackendID
+}
+
+// ChangedSince returns the back ends that differ from an earlier view, in no order, where that is the
+// one before; else it is not known which do.
+func (v *View) ChangedSince(before *View) (ids []settings.BackendID, known bool) {
+	return v.changed, v.of != nil && v.of == before.of && v.serial == before.serial+1
 }
 
 // viewParts is in how many parts the tables of a view are divided.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -312,38 +312,6 @@
 	return n.directory.Revision()
 }
 
-// maxAddedLines is how many back ends that were added together have a line each.
-const maxAddedLines = 16
-
-func (n *Node) logEvents(events []directory.Event, from string, age time.Duration) {
-	added := 0
-	for _, event := range events {
-		if event.Transition == directory.BackendAdded {
-			added++
-		}
-	}
-	if added > maxAddedLines {
-		n.log.Info("back ends added", "count", added, "revision", n.viewRevision.Load(), "from", from, "age_ms", age.Milliseconds())
-	}
-	n.logLapsed(events, from)
-	for _, event := range events {
-		if event.Transition == directory.BackendAdded && added > maxAddedLines {
-			continue
-		}
-		switch event.Transition {
-		case directory.SettingsApplied:
-			n.log.Info(string(event.Transition), "version", event.Version, "revision", event.Revision, "from", from, "age_ms", age.Milliseconds())
-		case directory.SettingsRefused:
-			n.log.Error(string(event.Transition), "version", event.Version, "revision", event.Revision, "from", from, "error", event.Err)
-		case directory.ZoneEvacuated, directory.ZoneRestored:
-			n.log.Info(string(event.Transition), "zone", event.Zone, "revision", event.Revision, "from", from, "age_ms", age.Milliseconds())
-		default:
-			n.log.Info(string(event.Transition), "backend", backendName(event.Backend.ID), "group", event.Backend.Group,
-				"address", event.Backend.Address, "zone", event.Backend.Zone, "revision", event.Revision, "from", from, "age_ms", age.Milliseconds())
-		}
-	}
-}
-
 // pause waits or until ctx ends.
 func pause(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -156,6 +156,9 @@
 func (s *Steerer) newState(member *directory.Member) *backendState {
 	state := &backendState{id: member.ID, born: member.Born, events: &s.events, pool: s.poolOf(member.Group), slowness: 1, spanned: s.firstSpan()}
 	s.backends[member.ID] = state
+	if member.Gone {
+		s.departed[member.ID] = state
+	}
 	return state
 }
 
--- a/internal/steering/ended.go
+++ b/internal/steering/ended.go
@@ -58,10 +58,13 @@
 // the address. Every flow there is ended: nobody will answer it, whatever its requests are.
 func (s *Steerer) noteEnded() {
 	var gone []settings.BackendID
-	for id, b := range s.backends {
-		switch departed := s.view.Departed(id); {
-		case !departed:
-			b.ended = false
+	for id, b := range s.departed {
+		switch {
+		case !s.view.Knows(id):
+			if b.flows == 0 {
+				delete(s.departed, id)
+				delete(s.backends, id)
+			}
 		case !b.ended && b.flows > 0:
 			gone = append(gone, id)
 		}
--- a/internal/steering/start.go
+++ b/internal/steering/start.go
@@ -18,16 +18,16 @@
 // deaf tells whether what others say of the back end may be of the start before.
 func (b *backendState) deaf(now time.Duration) bool { return now < b.deafUntil }
 
-// noteStarts looks in a new view for back ends that started anew under their identifiers. Whatever was
+// noteStarts looks in a new view, of which these have changed, for back ends that started anew under their identifiers. Whatever was
 // learned of one is of no worth then, and of its flows those are ended that are older than the start: their
 // next request would be lost there, and a caller that may not repeat it would not know. Others may have
 // opened there since and stay.
-func (s *Steerer) noteStarts() {
+func (s *Steerer) noteStarts(changed []settings.BackendID) {
 	anew := map[settings.BackendID]*directory.Member{}
-	for id, b := range s.backends {
-		member := s.view.Member(id)
+	for _, id := range changed {
+		b, member := s.backends[id], s.view.Member(id)
 		switch {
-		case member == nil:
+		case b == nil, member == nil:
 		case member.Born.Differs(b.born):
 			anew[id] = member
 		case b.born == 0:
--- a/internal/steering/start_test.go
+++ b/internal/steering/start_test.go
@@ -93,3 +93,40 @@
 		t.Errorf("not heard later: %+v", state)
 	}
 }
+
+// TestAViewNeedNotFollowTheOneBefore: one that skips some has the same outcome, looked through whole.
+func TestAViewNeedNotFollowTheOneBefore(t *testing.T) {
+	each, some := newFleet(t), newFleet(t)
+	for caller := range 40 {
+		each.opened(caller, feedAddress)
+		some.opened(caller, feedAddress)
+	}
+	step := func(f *fleet, see bool, change directory.Changes) {
+		f.revision++
+		change.Revision = f.revision
+		for i := range change.Gone {
+			change.Gone[i].Revision = f.revision
+		}
+		f.directory.Apply(f.now, &change)
+		if view := f.directory.View(); see {
+			f.steerer.SetView(view)
+		}
+	}
+	for i, id := range []settings.BackendID{2, 3, 5, 4} {
+		gone := directory.Changes{Gone: []directory.Gone{{ID: id}}}
+		step(each, true, gone)
+		step(some, i%2 == 1, directory.Changes{Gone: []directory.Gone{{ID: id}}})
+	}
+	for _, f := range []*fleet{each, some} {
+		if len(f.steerer.departed) != 4 {
+			t.Errorf("departed are %v", f.steerer.departed)
+		}
+		f.now += 2 * time.Minute
+		f.steerer.Tick(f.now)
+		f.directory.Forget(f.now)
+		f.steerer.SetView(f.directory.View())
+		if len(f.steerer.departed) != 0 || f.steerer.backends[2] != nil || f.steerer.backends[1] == nil {
+			t.Errorf("left are %v and %v", f.steerer.departed, f.steerer.backends)
+		}
+	}
+}
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gaugeyard/internal/directory"
@@ -34,6 +36,8 @@
 	view     *directory.View
 	flows    map[flow.Key]*record
 	backends map[settings.BackendID]*backendState
+	// departed are those of backends whose entries are gone: they are few, and each view is asked of them alone.
+	departed map[settings.BackendID]*backendState
 	// splits are by the service's name.
 	splits map[string]*split
 	// shapes are what answers look like.
@@ -72,6 +76,7 @@
 		view:     &directory.View{},
 		flows:    map[flow.Key]*record{},
 		backends: map[settings.BackendID]*backendState{},
+		departed: map[settings.BackendID]*backendState{},
 		splits:   map[string]*split{},
 		shapes:   map[shapeKey]*answerShape{},
 		pools:    map[string]*poolState{},
@@ -114,16 +119,32 @@
 
 // SetView takes over a newer view of the desired state.
 func (s *Steerer) SetView(view *directory.View) {
+	changed, known := view.ChangedSince(s.view)
+	if !known {
+		changed = slices.Collect(maps.Keys(s.backends))
+	}
 	s.view = view
-	s.noteStarts()
-	for id, state := range s.backends {
-		if !view.Knows(id) && state.flows == 0 {
-			delete(s.backends, id)
-		}
+	s.noteStarts(changed)
+	for _, id := range changed {
+		s.noteMember(id, view.Member(id))
 	}
 	s.noteEnded()
 }
 
+// noteMember takes over whether the entry of a back end is there; member is nil once no flow can rest on it.
+func (s *Steerer) noteMember(id settings.BackendID, member *directory.Member) {
+	b := s.backends[id]
+	if b == nil {
+		return
+	}
+	delete(s.departed, id)
+	if member == nil || member.Gone {
+		s.departed[id] = b
+		return
+	}
+	b.ended = false
+}
+
 // TakeEvents returns the observations since the last call, mostly none.
 func (s *Steerer) TakeEvents() []BackendEvent {
 	if len(s.events) == 0 {
