A balancer keeps observations of the back ends that it has to do with

Cause: each placement made a state for every candidate. It grows with all back ends, not with the flows.

Change: candidates of which nothing is observed share one state that is never written; a state begins with a flow or with what others say, and ends once nothing is left of it. How long a back end is known comes from the directory, so that its load is judged as before.

--- a/internal/directory/birth.go
+++ b/internal/directory/birth.go
@@ -18,13 +18,18 @@
 type start struct {
 	// newest is the largest birth that was told under the identifier.
 	newest Birth
+	// since is when it was first heard of.
+	since time.Duration
 	// after is a time before this start: what a flow did earlier, it did with a start before. 0 is not known.
 	after time.Duration
 }
 
-// next returns what is known once a newer entry than that of the birth last tells another one; nothing
+// next returns what is known once a newer entry than that of the birth last tells another one, at now; nothing
 // was told of it until certain.
-func (s start) next(last, told Birth, certain, interval time.Duration) start {
+func (s start) next(last, told Birth, now, certain, interval time.Duration) start {
+	if told.Differs(last) {
+		s.since = now
+	}
 	if told.Differs(last) && told > s.newest {
 		// The server wrote after certain, and had started entryLife intervals earlier at most: else the
 		// entry of the start before had vanished. A birth that goes back may be a late word of an earlier
--- a/internal/directory/build.go
+++ b/internal/directory/build.go
@@ -37,7 +37,7 @@
 		return known.member
 	}
 	if left, gone := d.gone[id]; gone {
-		return &Member{Backend: left.Backend, Tag: TagOf(id), StartedAfter: left.start.after, Gone: true, GoneAt: left.at, Announced: left.announced, LapsedUntil: left.lapsedUntil, Evacuated: d.evacuated(&left.Backend)}
+		return &Member{Backend: left.Backend, Tag: TagOf(id), Since: left.start.since, StartedAfter: left.start.after, Gone: true, GoneAt: left.at, Announced: left.announced, LapsedUntil: left.lapsedUntil, Evacuated: d.evacuated(&left.Backend)}
 	}
 	return nil
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -305,17 +305,17 @@
 	d.endLapseAt(record.Backend.Address)
 	delete(d.gone, id)
 	var last Backend
-	begun := known.start
+	begun := start{since: now}
 	switch {
 	case live:
-		last = known.member.Backend
+		last, begun = known.member.Backend, known.start
 	case remembered:
 		last, begun = left.Backend, left.start
 	}
 	born := record.Backend.Born
-	begun = begun.next(last.Born, born, d.certain, d.interval)
+	begun = begun.next(last.Born, born, now, d.certain, d.interval)
 	member := &Member{
-		Backend: record.Backend, Tag: TagOf(id), ColdUntil: now + record.Backend.WarmUp, StartedAfter: begun.after,
+		Backend: record.Backend, Tag: TagOf(id), ColdUntil: now + record.Backend.WarmUp, Since: begun.since, StartedAfter: begun.after,
 		Announced: record.Revision, Evacuated: d.evacuated(&record.Backend),
 	}
 	d.live[id] = entry{member, begun}
@@ -353,7 +353,7 @@
 	}
 	if _, known := d.gone[record.Backend.ID]; !known {
 		d.changed[record.Backend.ID] = true
-		d.gone[record.Backend.ID] = departed{Record: record, at: now, announced: record.Revision, start: start{newest: record.Backend.Born}}
+		d.gone[record.Backend.ID] = departed{Record: record, at: now, announced: record.Revision, start: start{newest: record.Backend.Born, since: now}}
 	}
 }
 
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -25,6 +25,8 @@
 	Tag Tag
 	// ColdUntil is when the back end's warm-up ends.
 	ColdUntil time.Duration
+	// Since is when this process learned of this start of the back end.
+	Since time.Duration
 	// StartedAfter is a time before its present start: what a flow did earlier, it did with a start before. 0
 	// where no other start is known.
 	StartedAfter time.Duration
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -145,6 +145,7 @@
 	suspectUntil, suspicion time.Duration
 }
 
+// stateOf returns what is observed of a back end, from now on where nothing was.
 func (s *Steerer) stateOf(member *directory.Member) *backendState {
 	state := s.backends[member.ID]
 	if state == nil {
@@ -153,8 +154,21 @@
 	return state
 }
 
+// observed returns what is observed of a back end, to be read alone: of most in a large fleet nothing is, by
+// any one balancer, and these share one state. A state for each of 10,000 took 5 MB and a few ms of each second.
+func (s *Steerer) observed(member *directory.Member) *backendState {
+	if state := s.backends[member.ID]; state != nil {
+		return state
+	}
+	pool := s.poolOf(member.Group)
+	if pool.blank == nil {
+		pool.blank = &backendState{pool: pool, slowness: 1, events: &s.events}
+	}
+	return pool.blank
+}
+
 func (s *Steerer) newState(member *directory.Member) *backendState {
-	state := &backendState{id: member.ID, born: member.Born, events: &s.events, pool: s.poolOf(member.Group), slowness: 1, spanned: s.firstSpan()}
+	state := &backendState{id: member.ID, born: member.Born, events: &s.events, pool: s.poolOf(member.Group), slowness: 1, spanned: s.firstSpan(member)}
 	s.backends[member.ID] = state
 	if member.Gone {
 		s.departed[member.ID] = state
@@ -302,6 +316,25 @@
 	return b.recent + faultCost*b.faults
 }
 
+// leastTold is what an observation must still be worth to be kept.
+const leastTold = 0.01
+
+// idle tells whether nothing is left of what was observed: a new state would say the same.
+func (b *backendState) idle(now time.Duration) bool {
+	if b.flows > 0 || b.opening > 0 || b.active > 0 || now-max(b.progress, b.placedAt) < restTime {
+		return false
+	}
+	if b.faulty || b.out || b.ended || b.trial || b.slowness > 1 || b.askedAt != 0 || len(b.stalled) > 0 {
+		return false
+	}
+	if now < max(b.deafUntil, b.doubtUntil, b.heardDoubtUntil, b.suspectUntil, b.lostUntil, b.restingUntil, b.warmUpNext) {
+		return false
+	}
+	told := b.recent + b.steady + b.fresh + b.faults + b.failures + b.failing + b.answers.count
+	others := b.others.Requests + b.others.Steady + b.others.Failures + b.others.Answers
+	return told < leastTold && others < leastTold
+}
+
 // decay lets a second pass.
 func (b *backendState) decay(now time.Duration) {
 	b.recent *= recentDecay
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -102,7 +102,7 @@
 func (s *Steerer) refusal(parts []*part) errkind.Kind {
 	for _, p := range parts {
 		for _, member := range s.view.Pool(p.group.Discover).Open {
-			if s.connectionsOf(p.group, member).Refuses(s.stateOf(member).flows) {
+			if s.connectionsOf(p.group, member).Refuses(s.observed(member).flows) {
 				return errkind.ConnectionsFull
 			}
 		}
@@ -141,7 +141,7 @@
 	}
 	reason := PartDark
 	for _, member := range p.pool.Open {
-		switch state := s.stateOf(member); {
+		switch state := s.observed(member); {
 		case s.withholds(p.now, p.limit, member, state):
 			return PartCold
 		case s.connectionsOf(p.group, member).Avoids(state.flows):
--- a/internal/steering/connections_test.go
+++ b/internal/steering/connections_test.go
@@ -22,7 +22,7 @@
 		f.opened(caller, feedAddress)
 	}
 	for id := settings.BackendID(1); id <= 6; id++ {
-		if flows, want := f.steerer.backends[id].flows, map[bool]int{true: 3, false: 1}[id <= 4]; flows != want {
+		if flows, want := f.state(id).flows, map[bool]int{true: 3, false: 1}[id <= 4]; flows != want {
 			t.Errorf("back end %d has %d flows, want %d", id, flows, want)
 		}
 	}
--- a/internal/steering/ended_test.go
+++ b/internal/steering/ended_test.go
@@ -31,7 +31,7 @@
 		if resets := f.steerer.TakeResets(); resets != nil {
 			t.Errorf("%d flows are reset though the entry is there", len(resets))
 		}
-		open := f.steerer.backends[1].flows
+		open := f.state(1).flows
 		f.vanish(1)
 		resets := f.steerer.TakeResets()
 		if open < 25 || len(resets) != open {
--- a/internal/steering/lost_test.go
+++ b/internal/steering/lost_test.go
@@ -261,7 +261,7 @@
 			f.established(3, feedAddress, 1, 1, 100)
 			f.pass(time.Second)
 		}
-		state := f.steerer.backends[1]
+		state := f.state(1)
 		before := state.progress
 		f.steerer.Steer(f.now, &Packet{Flow: key(3, feedAddress), Kind: test.kind, Tag: 1, Sequence: 5000, Acknowledged: 9000, Payload: test.data})
 		if living := state.progress > before; living != test.living {
@@ -316,7 +316,7 @@
 func TestStallsAreToldInOneOrder(t *testing.T) {
 	f := silentFleet(t)
 	for id := settings.BackendID(1); id <= 6; id++ {
-		state := f.steerer.backends[id]
+		state := f.state(id)
 		state.stalledAt = f.now
 		for i := range 1 + int(id)%3 {
 			state.stalled = append(state.stalled, netip.AddrFrom4([4]byte{100, 64, 0, byte(i)}))
--- a/internal/steering/parts_test.go
+++ b/internal/steering/parts_test.go
@@ -90,7 +90,7 @@
 	uploads := func(each func(f *fleet, state *backendState)) func(f *fleet) {
 		return func(f *fleet) {
 			for id := settings.BackendID(11); id <= 12; id++ {
-				each(f, f.steerer.backends[id])
+				each(f, f.state(id))
 			}
 		}
 	}
@@ -145,7 +145,7 @@
 	f := newFleet(t)
 	f.partsOf(0, 100)
 	for id := settings.BackendID(11); id <= 12; id++ {
-		f.steerer.backends[id].active += 2
+		f.state(id).active += 2
 	}
 	if counts := f.partsOf(100, 100); counts["upload turn"] < 22 || counts["upload turn"] > 28 || len(counts) != 2 {
 		t.Errorf("%v", counts)
@@ -198,7 +198,7 @@
 		caller++
 	}
 	f.pass(200 * time.Millisecond)
-	f.steerer.backends[11].suspectUntil = f.now + time.Second
+	f.state(11).suspectUntil = f.now + time.Second
 	copied := f.open(caller, splitAddress, 1)
 	if copied.Action != Forward || !copied.Moved || copied.Part.Discover != "feed" || copied.PartReason != PartDark {
 		t.Errorf("the copy: %+v", copied)
--- a/internal/steering/placing.go
+++ b/internal/steering/placing.go
@@ -69,7 +69,7 @@
 
 // addCandidate makes a back end a candidate that the filters leave.
 func (s *Steerer) addCandidate(member *directory.Member, filters []filter) {
-	state := s.stateOf(member)
+	state := s.observed(member)
 	if s.filtered(filters, member, state) {
 		return
 	}
--- a/internal/steering/pool.go
+++ b/internal/steering/pool.go
@@ -34,6 +34,8 @@
 
 // poolState is what is known of the back ends that announce one name together.
 type poolState struct {
+	// blank stands for the back ends of which nothing is observed; it is never written.
+	blank *backendState
 	// turn counts the flows that were placed among them.
 	turn int
 	// usual is the usual time of their answers when a flow was last placed, in seconds, 0 while
--- a/internal/steering/record.go
+++ b/internal/steering/record.go
@@ -223,8 +223,11 @@
 			known.giveUp()
 		}
 	}
-	for _, state := range s.backends {
-		state.decay(now)
+	for id, state := range s.backends {
+		if state.decay(now); state.idle(now) {
+			delete(s.backends, id)
+			delete(s.departed, id)
+		}
 	}
 	for _, pool := range s.pools {
 		pool.decay()
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -70,8 +70,8 @@
 // SetOthersDoubts takes over which back ends other balancers doubt at present.
 func (s *Steerer) SetOthersDoubts(now time.Duration, doubted []settings.BackendID) {
 	for _, id := range doubted {
-		if state := s.backends[id]; state != nil {
-			state.hearDoubt(now)
+		if member := s.view.Member(id); member != nil {
+			s.stateOf(member).hearDoubt(now)
 		}
 	}
 }
--- a/internal/steering/stalls.go
+++ b/internal/steering/stalls.go
@@ -85,8 +85,12 @@
 	}
 	var lost []*backendState
 	for _, stall := range stalls {
-		b := s.backends[stall.Backend]
-		if b == nil || b.deaf(now) {
+		member := s.view.Member(stall.Backend)
+		if member == nil {
+			continue
+		}
+		b := s.stateOf(member)
+		if b.deaf(now) {
 			continue
 		}
 		b.hearStall(heardStall{from, stall.Callers, now - stall.Silence, now})
--- a/internal/steering/start_test.go
+++ b/internal/steering/start_test.go
@@ -38,7 +38,7 @@
 	old := f.at(1)
 	f.pass(10 * time.Second)
 	young := f.at(2000)
-	before := f.steerer.backends[1]
+	before := f.state(1)
 	before.failures, before.slowness, before.others.Failures = 5, 4, 5
 	before.suspectUntil = f.now + time.Minute
 	f.steerer.TakeEvents()
@@ -58,7 +58,7 @@
 	if !ended[old] || ended[young] {
 		t.Errorf("the old flow ends: %v, the young one: %v", ended[old], ended[young])
 	}
-	state := f.steerer.backends[1]
+	state := f.state(1)
 	if state.failures != 0 || state.slowness != 1 || state.suspected(f.now) || state.flows == 0 || state.flows >= before.flows+len(resets)+1 {
 		t.Errorf("it has inherited %+v", state)
 	}
@@ -83,7 +83,7 @@
 		f.steerer.SetOthersLoad(map[directory.Tag]Load{1: {Requests: 9, Failures: 9}})
 	}
 	hear()
-	state := f.steerer.backends[1]
+	state := f.state(1)
 	if state.doubted(f.now) || state.others != (Load{}) {
 		t.Errorf("heard at once: %+v", state)
 	}
@@ -112,7 +112,7 @@
 			f.steerer.SetView(view)
 		}
 	}
-	for i, id := range []settings.BackendID{2, 3, 5, 4} {
+	for i, id := range []settings.BackendID{2, 3, 1, 4} {
 		gone := directory.Changes{Gone: []directory.Gone{{ID: id}}}
 		step(each, true, gone)
 		step(some, i%2 == 1, directory.Changes{Gone: []directory.Gone{{ID: id}}})
@@ -125,8 +125,32 @@
 		f.steerer.Tick(f.now)
 		f.directory.Forget(f.now)
 		f.steerer.SetView(f.directory.View())
-		if len(f.steerer.departed) != 0 || f.steerer.backends[2] != nil || f.steerer.backends[1] == nil {
+		if len(f.steerer.departed) != 0 || len(f.steerer.backends) != 0 {
 			t.Errorf("left are %v and %v", f.steerer.departed, f.steerer.backends)
 		}
 	}
 }
+
+// TestOnlyWhatIsObservedIsKept: placing among many back ends keeps nothing of those that got no flow, and nothing of
+// the others once their flows are long over.
+func TestOnlyWhatIsObservedIsKept(t *testing.T) {
+	f := newFleet(t)
+	for caller := range 3 {
+		f.opened(caller, feedAddress)
+	}
+	if kept := len(f.steerer.backends); kept > 3 {
+		t.Errorf("of %d back ends something is kept", kept)
+	}
+	for range 180 {
+		f.pass(time.Second)
+		f.steerer.Tick(f.now)
+	}
+	if kept := len(f.steerer.backends); kept > 0 {
+		t.Errorf("of %d back ends something is kept once all flows are over", kept)
+	}
+	for _, pool := range f.steerer.pools {
+		if blank := pool.blank; blank != nil && (blank.recent != 0 || blank.flows != 0 || blank.doubt != 0 || blank.slowness != 1) {
+			t.Errorf("what stands for the rest was written: %+v", blank)
+		}
+	}
+}
--- a/internal/steering/steady.go
+++ b/internal/steering/steady.go
@@ -1,6 +1,11 @@
 package steering
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"gaugeyard/internal/directory"
+)
 
 const (
 	// steadyDecay is what is left of the steady count of requests after a second, so that it stands
@@ -30,11 +35,12 @@
 	return (b.steadyWork() + b.others.Steady) / (leastSteady + b.spanned)
 }
 
-// firstSpan is for how many seconds of requests the steady count of a back end stands that is met
-// now.
-func (s *Steerer) firstSpan() float64 {
-	if s.pulse-s.begun < settleTime {
-		return 1 / (1 - steadyDecay)
+// firstSpan is for how many seconds of requests the steady count of a back end stands that nothing was observed
+// of until now: as long as it is known here.
+func (s *Steerer) firstSpan(member *directory.Member) float64 {
+	const longest = 1 / (1 - steadyDecay)
+	if member.Since-s.begun < settleTime {
+		return longest
 	}
-	return 0
+	return longest * (1 - math.Pow(steadyDecay, max(s.pulse-member.Since, 0).Seconds()))
 }
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -82,6 +82,11 @@
 	f.steerer.SetView(f.directory.View())
 }
 
+// state is what is observed of a back end.
+func (f *fleet) state(id settings.BackendID) *backendState {
+	return f.steerer.stateOf(f.directory.View().Member(id))
+}
+
 // pass lets time pass in steps with pulses.
 func (f *fleet) pass(length time.Duration) {
 	for end := f.now + length; f.now < end; {
