A second server answers no copy at few signs

Change: as many flows as leave a chance below 1 in 1,000 by the measured loss, one more in the first 5 s unless another balancer says so too; where packets get lost, a doubt for a single one is not told.

--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// silentFlows is how many flows must go unanswered, with no sign of life
-	// between, before a back end is suspected: one may be a lost packet.
-	silentFlows = 2
+	// silentFlows is how many flows at least must go unanswered, with no sign of life
+	// between, before a back end is suspected: one may be a lost packet. silentByChance is how improbable it
+	// must be that all of them are: copies of opening packets leave a suspected back end, and if it is sound both
+	// answer. With less than 3 in 100 opening packets sent again two are enough, with 10 in 100 it takes three.
+	silentFlows    = 2
+	silentByChance = 1e-3
 	// suspectTime is how long a suspected back end gets no new flows at first;
 	// it doubles each time the suspicion is renewed, up to maxSuspectTime.
 	suspectTime    = 2 * time.Second
@@ -281,11 +284,17 @@
 		return
 	}
 	b.silent++
-	if now < b.heardDoubtUntil && !b.pool.lossy() {
+	wanted := b.pool.silentFlows()
+	switch {
+	case now < b.heardDoubtUntil && !b.pool.lossy():
 		// Another balancer has not been answered either.
 		b.silent++
+	case b.pool.young(now):
+		// One more: of 8 openings in the first second none was lost where a tenth is, and two that
+		// followed each other were.
+		wanted++
 	}
-	if b.silent < silentFlows {
+	if b.silent < wanted {
 		return
 	}
 	b.silent = 0
--- a/internal/steering/lost.go
+++ b/internal/steering/lost.go
@@ -1,7 +1,6 @@
 package steering
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -96,11 +95,7 @@
 // lostCallers returns how many callers must have sent data again in vain before one of the back
 // ends counts as lost.
 func (p *poolState) lostCallers() int {
-	vain := max(p.repeated.share(), p.repeatedLong.highest())
-	if vain >= 1 {
-		return math.MaxInt
-	}
-	return max(lostCallers, int(math.Ceil(math.Log(lostByChance)/math.Log(vain))))
+	return max(lostCallers, byChance(lostByChance, max(p.repeated.share(), p.repeatedLong.highest())))
 }
 
 // cutOff tells whether as many back ends leave callers of this balancer without a sign of life just now
--- a/internal/steering/pool.go
+++ b/internal/steering/pool.go
@@ -36,6 +36,8 @@
 type poolState struct {
 	// blank stands for the back ends of which nothing is observed; it is never written.
 	blank *backendState
+	// begun is when this balancer began to observe.
+	begun time.Duration
 	// turn counts the flows that were placed among them.
 	turn int
 	// usual is the usual time of their answers when a flow was last placed, in seconds, 0 while
@@ -56,7 +58,7 @@
 func (s *Steerer) poolOf(discover string) *poolState {
 	pool := s.pools[discover]
 	if pool == nil {
-		pool = &poolState{coldPace: firstColdPace}
+		pool = &poolState{coldPace: firstColdPace, begun: s.begun}
 		s.pools[discover] = pool
 	}
 	return pool
@@ -71,6 +73,22 @@
 // is no wonder.
 func (p *poolState) losesAnswers() bool { return p.openings.highest() >= lossyOpenings }
 
+// silentFlows returns how many flows must go unanswered before one of the back ends is suspected.
+func (p *poolState) silentFlows() int {
+	return max(silentFlows, byChance(silentByChance, p.openings.highest()))
+}
+
+// young tells whether this balancer has seen so little that none of it lost is luck.
+func (p *poolState) young(now time.Duration) bool { return now-p.begun < settleTime }
+
+// byChance returns how many events in a row are less probable than a chance, where one has the probability each.
+func byChance(chance, each float64) int {
+	if each >= 1 {
+		return math.MaxInt
+	}
+	return int(math.Ceil(math.Log(chance) / math.Log(each)))
+}
+
 // noteOpened counts a flow that has opened, and tells whether only after a copy of its opening packet.
 func (p *poolState) noteOpened(copied bool) {
 	p.openings.asked++
--- a/internal/steering/pool_test.go
+++ b/internal/steering/pool_test.go
@@ -56,3 +56,51 @@
 		}
 	}
 }
+
+// TestABalancerThatHasJustStartedWantsOneFlowMore before it takes a back end for silent, unless another one
+// says so too, and one that has seen opening packets lost wants as many as chance leaves.
+func TestABalancerThatHasJustStartedWantsOneFlowMore(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		now           time.Duration
+		openings      repetitions
+		heard         bool
+		silent, moves int
+	}{
+		{"just started", time.Second, repetitions{}, false, 3, 3},
+		{"just started, and another one doubts", time.Second, repetitions{}, true, 1, 1},
+		{"settled", 10 * time.Second, repetitions{asked: 100}, false, 2, 2},
+		{"one in 20 is lost", 10 * time.Second, repetitions{asked: 100, vain: 5}, false, 3, 3},
+	} {
+		var events []BackendEvent
+		b := &backendState{pool: &poolState{openings: test.openings}, events: &events}
+		if test.heard {
+			b.heardDoubtUntil = test.now + time.Second
+		}
+		for flows := 1; flows <= test.silent; flows++ {
+			b.noteSilence(test.now, test.now-time.Millisecond)
+			if suspected := b.suspected(test.now); suspected != (flows >= test.moves) {
+				t.Errorf("%s, after %d flows: suspected %v", test.name, flows, suspected)
+			}
+		}
+	}
+}
+
+// TestADoubtForALostPacketIsNoWordForOthers: where packets get lost, only what several flows show is told.
+func TestADoubtForALostPacketIsNoWordForOthers(t *testing.T) {
+	for _, lossy := range []bool{false, true} {
+		f := newFleet(t)
+		b := f.state(1)
+		b.doubt, b.doubtUntil = doubtTime, f.now+doubtTime
+		if lossy {
+			f.steerer.poolOf("feed").openings = repetitions{asked: 100, vain: 20}
+		}
+		if told := len(f.steerer.Doubted(f.now, 9)) > 0; told == lossy {
+			t.Errorf("packets are lost: %v, the doubt is told: %v", lossy, told)
+		}
+		b.suspectUntil = f.now + suspectTime
+		if len(f.steerer.Doubted(f.now, 9)) != 1 {
+			t.Errorf("packets are lost: %v, the suspicion is not told", lossy)
+		}
+	}
+}
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -76,11 +76,13 @@
 	}
 }
 
-// Doubted returns the back ends that this balancer found silent itself, at most count.
+// Doubted returns the back ends that this balancer found silent itself, at most count. Where packets get lost, a
+// single opening packet without an answer is no word for others: one that has just started does not know of
+// the loss, and would take it for a second sign.
 func (s *Steerer) Doubted(now time.Duration, count int) []settings.BackendID {
 	var doubted []settings.BackendID
 	for id, state := range s.backends {
-		if state.doubt > 0 && now < state.doubtUntil || state.suspected(now) {
+		if state.doubt > 0 && now < state.doubtUntil && !state.pool.lossy() || state.suspected(now) {
 			doubted = append(doubted, id)
 		}
 	}
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -247,6 +247,7 @@
 // TestADoubtedBackEndGetsOneFlowAtATime until it shows a sign of life.
 func TestADoubtedBackEndGetsOneFlowAtATime(t *testing.T) {
 	f := newFleet(t)
+	f.pass(settleTime)
 	silent := f.open(0, feedAddress, 0).Backend
 	f.pass(answerTime)
 	tried := 0
@@ -287,6 +288,7 @@
 // dead back end will never answer.
 func TestAnAdoptedFlowIsNoSignOfLife(t *testing.T) {
 	f := newFleet(t)
+	f.pass(settleTime)
 	silent := f.open(0, feedAddress, 0).Backend
 	f.pass(answerTime)
 	f.steerer.stateOf(silent).doubted(f.now)
@@ -453,6 +455,7 @@
 
 func TestSilentBackEndsLoseNewFlows(t *testing.T) {
 	f := newFleet(t)
+	f.pass(settleTime)
 	silent := f.open(0, feedAddress, 0).Backend
 	waiting := []int{0}
 	var answered []*directory.Member
