A start leaves the store to the able and to those that come first

Cause: a balancer that knew nothing listed the store 50 ms after its start, and read on after 0.8 s whoever else did. All that start at once share the store's link: a listing of 10,000 servers is about 3.3 MB, of 986 balancers 25 s of 1,000 Mbit/s, and the slower it gets the more patience runs out.

Change: a balancer that knows an abler one, or in a zone of nine and more one that comes first by rank, leaves the store to it for 1.5 s from its start; one behind a narrow link that has heard nobody waits 0.2 s for that; all but the first eight of a zone wait 4 s with a listing begun.

Measured: a model of tables of 198 and 400 balancers of a zone: at most 9 in 100 list at once; the number grows with the fleet, so that at 12,000 the first pages alone would take the link 6 s: the next limit.

--- a/internal/edge/listing.go
+++ b/internal/edge/listing.go
@@ -79,7 +79,8 @@
 func (n *Node) proceeds(ctx context.Context, listing *follow.Listing) bool {
 	for ctx.Err() == nil {
 		n.beliefs.Lock()
-		step := listing.Next(n.now(), n.directory.Revision(), n.peers.HasLower(n.now()))
+		index, _, _ := n.peers.Place(n.now())
+		step := listing.Next(n.now(), n.directory.Revision(), n.peers.HasLower(n.now()), index)
 		n.beliefs.Unlock()
 		if step != follow.WaitForOthers {
 			return step == follow.ReadOn
--- a/internal/emulator/known_test.go
+++ b/internal/emulator/known_test.go
@@ -17,3 +17,12 @@
 		}
 	}
 }
+
+// TestNoSecondServerAnswersWhereRoutersMoveACopy to a balancer that has just started and does not know yet how many
+// answers are lost.
+func TestNoSecondServerAnswersWhereRoutersMoveACopy(t *testing.T) {
+	t.Parallel()
+	for _, violation := range runNamed(t, "lossy-answers", 861, Without{}).Violations {
+		t.Error(violation)
+	}
+}
--- a/internal/follow/call.go
+++ b/internal/follow/call.go
@@ -49,6 +49,10 @@
 	// Index is how many of those are of the own zone.
 	Spare bool
 	Index int
+	// Abler is set while a live balancer on an abler machine is known, and Alone while none has been heard. Zone
+	// is how many of the own zone are, the balancer itself included.
+	Abler, Alone bool
+	Zone         int
 	// Failing is how many other live balancers say that the store does not answer them.
 	Failing int
 	// Revision is up to where the beliefs are complete, 0 for nothing.
@@ -64,7 +68,8 @@
 // it knows of others. contactBound is the platform's bound for being in touch.
 func StateOf(now time.Duration, revision uint64, known *peers.Table, contactBound time.Duration) State {
 	state := State{Now: now, Revision: revision, Spare: known.HasLower(now), Failing: known.Failing(now)}
-	state.Index, _, _ = known.Place(now)
+	index, zone, fleet := known.Place(now)
+	state.Index, state.Zone, state.Abler, state.Alone = index, zone, known.HasAbler(now), fleet == 1
 	if peer, found := known.Upstream(now, MaxPeerAge(contactBound)); found {
 		state.Upstream, state.UpstreamAge = peer.Control, peer.Age(now)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -74,8 +74,8 @@
 	// is known and others have had time to be found.
 	startPause time.Duration
 	settled    bool
-	// listsShort is set while a listing is left to others if it is long.
-	listsShort bool
+	// narrow is set behind a narrow link, and listsShort while a listing is left to others there if it is long.
+	narrow, listsShort bool
 	// historyLost is set while the next call to the store must list.
 	historyLost bool
 	// storeTurn is set when a peer was of no use and the store is next.
@@ -101,7 +101,7 @@
 // New returns a follower. contactBound is the platform's bound for being in touch,
 // startPause how long the store is left to others while nothing is known; see StartPause.
 func New(contactBound, startPause time.Duration) *Follower {
-	return &Follower{contactBound: contactBound, startPause: startPause, listsShort: startPause == narrowPause}
+	return &Follower{contactBound: contactBound, startPause: startPause, narrow: startPause > 0, listsShort: startPause == narrowPause}
 }
 
 // MaxPeerAge is how old beliefs of another balancer may be, for a contact bound.
@@ -138,6 +138,9 @@
 		return Call{Kind: AskPeer, Peer: state.Upstream, Wait: wait, Timeout: wait + peerSlack}
 	}
 	f.storeTurn = false
+	if f.leavesStore(state) {
+		return Call{Kind: Pause, Wait: startPoll}
+	}
 	if left := f.storeAfter - state.Now; left > 0 {
 		return f.waitForStore(left)
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -413,3 +413,40 @@
 		}
 	}
 }
+
+// listsAfter returns how long after its start a balancer that nobody tells anything lists the store.
+func listsAfter(f *Follower, state State) time.Duration {
+	for state.Now < time.Minute {
+		call := f.Next(state)
+		if call.Kind == ListStore {
+			return state.Now
+		}
+		state.Now += call.Wait
+	}
+	return time.Minute
+}
+
+// TestAStartLeavesTheStoreToTheAble, and to the first by rank where all are alike, for a bounded time.
+func TestAStartLeavesTheStoreToTheAble(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		state      State
+		startPause time.Duration
+		from, to   time.Duration
+	}{
+		{"an able one", State{}, 0, 0, 0},
+		{"the first of a large zone", State{Zone: largeZone}, 0, 0, 0},
+		{"another one of a small zone", State{Spare: true, Zone: largeZone - 1}, 0, 0, 0},
+		{"another one of a large zone", State{Spare: true, Zone: largeZone}, 0, ablerTime, ablerTime + startPoll},
+		{"one that knows an able one", State{Spare: true, Abler: true}, narrowPause, ablerTime, ablerTime + startPoll},
+		{"one behind a narrow link that knows nobody", State{Alone: true}, narrowPause, aloneTime, aloneTime + startPoll},
+		{"one behind a wide link that knows nobody", State{Alone: true}, 0, 0, 0},
+	} {
+		if after := listsAfter(New(bound, test.startPause), test.state); after < test.from || after > test.to {
+			t.Errorf("%s lists after %v, want %v to %v", test.name, after, test.from, test.to)
+		}
+	}
+	if restart := New(bound, 0).Next(State{Revision: 5, Abler: true, Upstream: upstream}); restart.Kind != AskPeer {
+		t.Errorf("one that was told: %+v", restart)
+	}
+}
--- a/internal/follow/listing.go
+++ b/internal/follow/listing.go
@@ -7,6 +7,9 @@
 	// first. When a whole fleet starts, the store's link is the bottleneck; balancers
 	// hand a listing on much faster.
 	listPatience = 800 * time.Millisecond
+	// restPatience is that time for all but firstAskers of a zone: those few need longer too when more than
+	// them have begun.
+	restPatience = 4 * time.Second
 	// ListPoll is how long a driver waits before it asks a listing again.
 	ListPoll = 20 * time.Millisecond
 	// pageRetries is how often in a row a page is asked for again. Where listings are
@@ -57,15 +60,19 @@
 	return min(firstRetry<<(l.failures-1), lastRetry), true
 }
 
-// Next returns the step after a page was read, where revision is known now and lower tells whether
-// a live balancer of lower rank may learn first. A balancer that lists anew, since its
+// Next returns the step after a page was read, where revision is known now, lower tells whether
+// a live balancer of lower rank may learn first, and index how many of these are of the own zone. A balancer that lists anew, since its
 // history was lost, waits for nobody: few do at once, and others know no more.
-func (l *Listing) Next(now time.Duration, revision uint64, lower bool) ListingStep {
+func (l *Listing) Next(now time.Duration, revision uint64, lower bool, index int) ListingStep {
 	l.read, l.failures = true, 0
+	patience := listPatience
+	if index >= firstAskers {
+		patience = restPatience
+	}
 	switch {
 	case revision > l.known:
 		return LeaveListing
-	case l.known > 0, l.patient, !lower, now-l.begun >= listPatience:
+	case l.known > 0, l.patient, !lower, now-l.begun >= patience:
 		l.patient = true
 		return ReadOn
 	}
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -14,6 +14,18 @@
 	// with 1,500 routes 98 balancers share the store's link for half a second.
 	LongTransfer = 150 * time.Millisecond
 	longPause    = 200 * time.Millisecond
+	// ablerTime is how long, from its start, a balancer that knows nothing leaves the store to others that are
+	// abler or, in a zone of largeZone and more, come first by rank: all that start at once share the store's
+	// link, and what 986 balancers would read of 10,000 servers takes it 25 s. One in 25 or fewer ask at once, and
+	// have everything in half a second. It ends within an eighth of the least bound of recovery, so that others ask
+	// where these cannot.
+	ablerTime = 1500 * time.Millisecond
+	largeZone = 9
+	// aloneTime is how long a balancer behind a narrow link waits to hear of others first: seeds answer
+	// within a few milliseconds, if they have started, and the machines of a fleet start within 0.3 s.
+	aloneTime = 200 * time.Millisecond
+	// startPoll is how long it waits before it looks whether one has heard meanwhile.
+	startPoll = 25 * time.Millisecond
 	// firstPause is that time at the first start of the whole fleet, when no caller waits yet.
 	firstPause = time.Second
 )
@@ -32,6 +44,17 @@
 	return narrowPause
 }
 
+// leavesStore tells whether a balancer that knows nothing leaves the store to others for now.
+func (f *Follower) leavesStore(state State) bool {
+	switch {
+	case state.Revision > 0 || f.historyLost || f.broken:
+		return false
+	case state.Alone:
+		return f.narrow && state.Now < aloneTime
+	}
+	return state.Now < ablerTime && (state.Abler || state.Spare && state.Zone >= largeZone)
+}
+
 // Narrow tells whether everything that is believed takes long over a link, so that
 // few may be told it at once.
 func Narrow(linkMbps float64) bool {
--- a/internal/peers/capacity_test.go
+++ b/internal/peers/capacity_test.go
@@ -245,3 +245,34 @@
 		}
 	}
 }
+
+// TestFewListTheStoreWhenAllStart: of balancers that have heard of each other, those leave it to others that know
+// one that is abler or comes first; the rest shares the store's link. 9 in 100 of 986 would take its 125 MB/s for half
+// a second with a first page each (0.7 MB).
+func TestFewListTheStoreWhenAllStart(t *testing.T) {
+	for _, test := range []struct{ zones, perZone, ablePerZone int }{{1, 198, 10}, {1, 400, 20}, {1, 198, 0}} {
+		listing := 0
+		for zone := range test.zones {
+			var balancers []Introduction
+			for i := range test.perZone {
+				balancer := Introduction{Control: address(zone*test.perZone + i), Zone: "a"}
+				if i < test.ablePerZone {
+					balancer.Capacity = Able
+				}
+				balancers = append(balancers, balancer)
+			}
+			for _, self := range balancers {
+				table := New(self)
+				for _, other := range balancers {
+					table.Heard(0, from(other))
+				}
+				if !table.HasAbler(0) && !table.HasLower(0) {
+					listing++
+				}
+			}
+		}
+		if most := test.zones * test.perZone * 9 / 100; listing > most {
+			t.Errorf("%+v: %d list the store at once, want at most %d", test, listing, most)
+		}
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -338,6 +338,17 @@
 	return len(alive) > 0 && alive[0].rank().Compare(t.rank()) < 0
 }
 
+// HasAbler tells whether a balancer on an abler machine is known that is alive, or that another one has named
+// just now.
+func (t *Table) HasAbler(now time.Duration) bool {
+	for _, peer := range t.peers {
+		if peer.Capacity > t.self.Capacity && !peer.Leaving && now-peer.heard <= aliveTime {
+			return true
+		}
+	}
+	return false
+}
+
 // Failing returns how many live peers say that the store does not answer them.
 func (t *Table) Failing(now time.Duration) int {
 	count := 0
