Each balancer knows one that is abler, wherever it is

Cause: tables hold the 24 nearest of the zone by hash and 8 elsewhere, the latter by nearness among those at least as able as oneself. Their number grows with the fleet.

Measured: TestOneAblerBalancerElsewhereIsKept (fails before). Hellos that an able one gets for it: those of one in 8 x (able part) balancers.

--- a/internal/peers/capacity_test.go
+++ b/internal/peers/capacity_test.go
@@ -276,3 +276,24 @@
 		}
 	}
 }
+
+// TestOneAblerBalancerElsewhereIsKept, however far it is by hash, and followed by one that comes first in its own zone.
+func TestOneAblerBalancerElsewhereIsKept(t *testing.T) {
+	for able := range 40 {
+		self := Introduction{Control: address(1000), Zone: "a", Capacity: Middling}
+		table := New(self)
+		for number := range 40 {
+			other := Introduction{Control: address(number), Zone: "b", Capacity: Middling}
+			if number == able {
+				other.Capacity = Able
+			}
+			table.Heard(0, from(other))
+		}
+		if len(table.peers) != maxOtherPeers {
+			t.Errorf("%d others are kept", len(table.peers))
+		}
+		if peer, found := table.Upstream(0, maxAge); !found || peer.Control != address(able) || !table.HasAbler(0) {
+			t.Errorf("the able one %d is not followed: %v", able, found)
+		}
+	}
+}
