--- a/internal/directory/records.go
+++ b/internal/directory/records.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gaugeyard/internal/codec"
 	"gaugeyard/internal/settings"
 )
 
@@ -41,7 +42,7 @@
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (r Records) EncodeMsgpack(encoder *msgpack.Encoder) error {
 	var c columns
-	groups, zones := names{}, names{}
+	groups, zones := codec.Names{}, codec.Names{}
 	hostBytes := hostBytes4
 	for i := range r {
 		if !r[i].Backend.Address.Addr().Is4() {
@@ -53,8 +54,8 @@
 		c.IDs = append(c.IDs, uint64(b.ID))
 		c.Revisions = append(c.Revisions, r[i].Revision)
 		c.Births = append(c.Births, int64(b.Born))
-		c.GroupAt = append(c.GroupAt, groups.index(&c.Groups, b.Group))
-		c.ZoneAt = append(c.ZoneAt, zones.index(&c.Zones, b.Zone))
+		c.GroupAt = append(c.GroupAt, groups.Index(&c.Groups, b.Group))
+		c.ZoneAt = append(c.ZoneAt, zones.Index(&c.Zones, b.Zone))
 		host := b.Address.Addr().As16()
 		c.Hosts = append(c.Hosts, host[len(host)-hostBytes:]...)
 		c.Ports = append(c.Ports, int(b.Address.Port()))
@@ -119,16 +120,3 @@
 	}
 	return hostBytes, nil
 }
-
-// names gives each name of a list its index.
-type names map[string]int
-
-func (n names) index(list *[]string, name string) int {
-	at, known := n[name]
-	if !known {
-		at = len(*list)
-		n[name] = at
-		*list = append(*list, name)
-	}
-	return at
-}
--- a/internal/snapshot/codec.go
+++ b/internal/snapshot/codec.go
@@ -95,12 +95,12 @@
 // encode returns a part with the back ends, which are in order of identifier: equal ones are encoded alike.
 func encode(part, parts int, records []directory.Record) ([]byte, error) {
 	written := content{Part: part, Parts: parts, Backends: make([]backend, len(records))}
-	groups, zones := names{}, names{}
+	groups, zones := codec.Names{}, codec.Names{}
 	for i := range records {
 		b := &records[i].Backend
 		written.Backends[i] = backend{
 			ID: uint64(b.ID), Revision: records[i].Revision, Address: b.Address, Slots: b.Slots, Born: b.Born,
-			Group: groups.index(&written.Groups, b.Group), Zone: zones.index(&written.Zones, b.Zone),
+			Group: groups.Index(&written.Groups, b.Group), Zone: zones.Index(&written.Zones, b.Zone),
 		}
 	}
 	var buffer bytes.Buffer
@@ -119,19 +119,6 @@
 	return binary.BigEndian.AppendUint64(body[:len(body):len(body)], xxh3.Hash(body))
 }
 
-// names gives each name of a list its index.
-type names map[string]int
-
-func (n names) index(list *[]string, name string) int {
-	at, known := n[name]
-	if !known {
-		at = len(*list)
-		n[name] = at
-		*list = append(*list, name)
-	}
-	return at
-}
-
 // decode reads a part and says what is wrong with one that is torn, of another format or not ours.
 func decode(value []byte) (*content, error) {
 	if len(value) < 1+checksumBytes {
