Stand-in and soak: servers that start again under their identifier, entries of another writer

Cause: the process was tested for neither beyond units. Change: the stand-in writes births, restarts servers under their identifiers and leaves entries that name no server; each phase of a soak has three of the one and one of the other, drawn apart so that earlier seeds' schedules stay.

--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -66,6 +66,9 @@
 	ServerReplaced Kind = "server-replaced"
 	ServerQuiet    Kind = "server-quiet"
 	ServerCrashed  Kind = "server-crashed"
+	// ServerRestarted starts again under its identifier, and EntriesForeign are left by another writer.
+	ServerRestarted Kind = "server-restarted"
+	EntriesForeign  Kind = "entries-foreign"
 	// ZoneEvacuated lets a zone take no new flow for evacuatedFor.
 	ZoneEvacuated Kind = "zone-evacuated"
 	// EntriesLapsed is the store down to all for so long that the entries of servers lapse; they are back
@@ -83,13 +86,14 @@
 	Stop, Kill, KillAll, Pause, Reload, Cut, CutInward, CutOutward, Lossy, Delayed, PeersCut, PeersDelayed, PeersReset,
 	StoreSilent, StoreBusy, StoreThrottling, StoreResetting, StoreSlow, StoreLosing, StoreDown, StoreCompacted,
 	ServerReplaced, ServerQuiet, ServerCrashed, RouteAdded, RouteDropped, RoutesStorm, RoutesMany, ConnectionsSilent, ZoneEvacuated,
-	EntriesLapsed,
+	EntriesLapsed, ServerRestarted, EntriesForeign,
 }
 
 // drawnKinds are those of which a phase has some by chance. Connections that fall silent and zones that are
-// evacuated come once in each phase, entries that lapse in every second one; they are drawn apart, so that
+// evacuated come once in each phase, as do entries of another writer and, three times, servers that start again under
+// their identifiers; entries that lapse in every second one. They are drawn apart, so that
 // the rest of the schedules of earlier seeds stays what it was.
-var drawnKinds = Kinds[:len(Kinds)-3]
+var drawnKinds = Kinds[:len(Kinds)-5]
 
 // Event is one trouble of a schedule.
 type Event struct {
@@ -120,6 +124,10 @@
 	// zoneStream names those by which ZoneEvacuated is drawn, lapseStream those of EntriesLapsed.
 	zoneStream  = 1 << 33
 	lapseStream = 1 << 34
+	// startStream names those of ServerRestarted and EntriesForeign.
+	startStream = 1 << 35
+	// restarts is how often servers start again in a phase.
+	restarts = 3
 	// lapsedFor is how long the store is down where entries lapse: longer than they live without a word.
 	lapsedFor = 4500 * time.Millisecond
 )
@@ -128,6 +136,7 @@
 // arguments give equal schedules.
 func Draw(seed uint64, length time.Duration, balancers int) []Event {
 	drawn, apart := rand.New(rand.NewPCG(seed, uint64(balancers))), rand.New(rand.NewPCG(seed, silentStream))
+	starts := rand.New(rand.NewPCG(seed, startStream))
 	zones, lapses := rand.New(rand.NewPCG(seed, zoneStream)), rand.New(rand.NewPCG(seed, lapseStream))
 	var events []Event
 	for phase, lapse := calmStart, false; phase < length-calmEnd; phase, lapse = phase+phaseTime+quietTime, !lapse {
@@ -144,6 +153,14 @@
 			at = phase + (end-phase)/2 + time.Duration(zones.Int64N(int64((end-phase)/2)))
 			events = append(events, Event{At: at.Round(time.Millisecond), Kind: ZoneEvacuated, For: leastFor})
 		}
+		for i := 0; i <= restarts && end > phase; i++ {
+			kind := ServerRestarted
+			if i == restarts {
+				kind = EntriesForeign
+			}
+			at := phase + time.Duration(starts.Int64N(int64(end-phase)))
+			events = append(events, Event{At: at.Round(time.Millisecond), Kind: kind, For: leastFor})
+		}
 		if lapse && end > phase {
 			at := phase + time.Duration(lapses.Int64N(int64(end-phase)))
 			events = append(events, Event{At: at.Round(time.Millisecond), Kind: EntriesLapsed, For: lapsedFor})
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -44,6 +44,10 @@
 		r.world.ReplaceServer(r.drawn, event.Kind == ServerQuiet)
 	case ServerCrashed:
 		r.world.CrashServer(r.drawn)
+	case ServerRestarted:
+		r.world.RestartServer(r.drawn)
+	case EntriesForeign:
+		r.world.WriteForeignEntries()
 	case ZoneEvacuated:
 		r.world.EvacuateZone(r.drawn, evacuatedFor)
 	case RouteAdded:
--- a/internal/standin/tagged/actions.go
+++ b/internal/standin/tagged/actions.go
@@ -97,6 +97,44 @@
 	})
 }
 
+// restartTime is how long a server that starts again under its identifier is down.
+const restartTime = 300 * time.Millisecond
+
+// RestartServer lets a server end without a word, and another one start under its identifier and at its address,
+// which holds nothing of it.
+func (w *World) RestartServer(drawn *rand.Rand) {
+	old := w.pick(drawn)
+	if old == nil {
+		return
+	}
+	old.crash()
+	w.say("server %x crashes, and starts again under its identifier", old.id)
+	time.AfterFunc(restartTime, func() {
+		if _, err := w.startServerAs(old.id, old.service, old.zone, old.address); err != nil {
+			w.say("server %x does not start again: %v", old.id, err)
+		}
+	})
+}
+
+// foreignEntries are what another writer leaves below the servers' prefix: none of them names a server.
+var foreignEntries = map[string]any{
+	"servers/":                    "no identifier",
+	"servers/i-nothing":           entry{Service: feedService, Address: "127.0.0.1:9", Zone: "a", Version: "v1", Capacity: 2, State: stateReady},
+	"servers/i-00000000f0000001":  entry{Service: feedService, Zone: "a", Version: "v1", Capacity: 2, State: stateReady},
+	"servers/i-00000000f0000002":  entry{Service: feedService, Address: "127.0.0.1:9", Zone: "a", Version: "v1", Capacity: 2, State: "resting"},
+	"servers/i-00000000f0000003":  []int{1, 2, 3},
+	"servers/i-00000000f0000004":  map[string]any{"service": 7, "address": true},
+	"servers/i-ffffffffffffffff0": entry{Service: feedService, Address: "127.0.0.1:9", Zone: "a", Version: "v1", Capacity: 2, State: stateReady},
+}
+
+// WriteForeignEntries lets another writer leave entries beside those of servers.
+func (w *World) WriteForeignEntries() {
+	for key, value := range foreignEntries {
+		w.store.Put(key, value)
+	}
+	w.say("another writer leaves %d entries among those of servers", len(foreignEntries))
+}
+
 // freshAddress is an address that no server of the zone had.
 func (w *World) freshAddress(zone string) netip.AddrPort {
 	w.mutex.Lock()
--- a/internal/standin/tagged/server.go
+++ b/internal/standin/tagged/server.go
@@ -13,7 +13,9 @@
 
 // server is one server of the platform.
 type server struct {
-	id      uint64
+	id uint64
+	// born is when it started.
+	born    time.Time
 	service string
 	zone    string
 	address netip.AddrPort
@@ -68,16 +70,20 @@
 	State    string `json:"state"`
 	WarmUp   int    `json:"warmupLeftMs"`
 	Sequence int    `json:"callSeq"`
+	Born     int64  `json:"born"`
 }
 
+// stateReady is the state of a server that takes flows.
+const stateReady = "ready"
+
 func newServer(id uint64, service, zone string, address netip.AddrPort, deliver uint16, w *World) (*server, error) {
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, service: service, zone: zone, address: address, deliver: deliver, socket: socket, store: w.store, judge: w.judge, links: w.links,
+	s := &server{id: id, born: time.Now(), service: service, zone: zone, address: address, deliver: deliver, socket: socket, store: w.store, judge: w.judge, links: w.links,
 		sabotage: w.config.Sabotage, flows: map[netip.AddrPort]*serverFlow{}}
-	s.announce("ready")
+	s.announce(stateReady)
 	go s.serve()
 	return s, nil
 }
@@ -92,7 +98,7 @@
 	if s.sabotage == WrongService && service == ingestService {
 		service = feedService
 	}
-	s.store.Put(s.key(), entry{Service: service, Address: s.address.String(), Zone: s.zone, Version: "v1", Capacity: 2, State: state})
+	s.store.Put(s.key(), entry{Service: service, Address: s.address.String(), Zone: s.zone, Version: "v1", Capacity: 2, State: state, Born: s.born.UnixMilli()})
 }
 
 // withdraw drops the entry.
--- a/internal/standin/tagged/world.go
+++ b/internal/standin/tagged/world.go
@@ -216,6 +216,11 @@
 	w.created++
 	id := uint64(w.created)<<32 | uint64(0xa0+w.created)<<8 | uint64(w.config.Network)
 	w.mutex.Unlock()
+	return w.startServerAs(id, service, zone, address)
+}
+
+// startServerAs starts a server under an identifier, which one before may have had.
+func (w *World) startServerAs(id uint64, service, zone string, address netip.AddrPort) (*server, error) {
 	s, err := newServer(id, service, zone, address, w.deliver(), w)
 	if err != nil {
 		return nil, err
