Limits of flows are divided by an estimate of the zone, not by the table

Cause: a balancer divided a back end's limit of flows among the 25 of its zone that it knows: with 198 a zone limits held 8 times too high, at 400 16 times. It holds only while tables have room for all.

Change: peers.Table.Sizes estimates a zone's size from how near the 24 nearest by hash are; exact where the table has room.

All balancers together: TestALimitIsDividedByTheWholeZone.

--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -126,8 +126,7 @@
 	n.steering.Lock()
 	defer n.steering.Unlock()
 	n.steerer.SetOthersLoad(n.peers.Loads(now))
-	index, count, fleet := n.peers.Place(now)
-	n.steerer.SetPlace(steering.Place{Index: index, Count: count, Fleet: fleet, Zone: n.peers.Neighbours(now)})
+	n.steerer.SetPlace(n.peers.OwnPlace(now))
 	hello.Others, hello.Full = n.peers.Sample(now), true
 	hello.Doubted = n.steerer.Doubted(now, peers.MaxDoubted)
 	hello.Stalls = n.steerer.Stalls(now, peers.MaxStalls)
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -6,7 +6,6 @@
 
 	"gaugeyard/internal/follow"
 	"gaugeyard/internal/peers"
-	"gaugeyard/internal/steering"
 )
 
 // askPeer waits at another balancer for changes.
@@ -90,8 +89,7 @@
 		}
 	}
 	n.steerer.SetOthersLoad(n.peers.Loads(now))
-	index, count, fleet := n.peers.Place(now)
-	n.steerer.SetPlace(steering.Place{Index: index, Count: count, Fleet: fleet, Zone: n.peers.Neighbours(now)})
+	n.steerer.SetPlace(n.peers.OwnPlace(now))
 	for _, target := range n.peers.Round(now, len(n.steerer.RecentLoad(peers.MaxLoads))) {
 		n.helloTo(target)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -285,6 +285,13 @@
 	return index, count, len(alive) + 1
 }
 
+// OwnPlace returns where this balancer stands, for placing flows.
+func (t *Table) OwnPlace(now time.Duration) steering.Place {
+	index, count, fleet := t.Place(now)
+	zoneSize, fleetSize := t.Sizes(now)
+	return steering.Place{Index: index, Count: count, Fleet: fleet, ZoneSize: zoneSize, FleetSize: fleetSize, Zone: t.Neighbours(now)}
+}
+
 func (t *Table) zonePeers(peers []*Peer) int {
 	count := 0
 	for _, peer := range peers {
--- a/internal/steering/connections_test.go
+++ b/internal/steering/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"gaugeyard/internal/directory"
 	"gaugeyard/internal/errkind"
 	"gaugeyard/internal/settings"
 )
@@ -69,3 +70,30 @@
 		}
 	}
 }
+
+// TestALimitIsDividedByTheWholeZone, of which a balancer knows 24 others: 198 of them with 8 a balancer hold no more
+// than 2,000 flows at a back end.
+func TestALimitIsDividedByTheWholeZone(t *testing.T) {
+	const limit, zone = 2000, 198
+	f := newFleet(t)
+	f.steerer.SetPlace(Place{Count: 25, Fleet: 33, ZoneSize: zone, FleetSize: 5 * zone})
+	group := &settings.Group{Connections: limit}
+	local, remote := f.directory.View().Member(1), f.directory.View().Member(5)
+	held := 0
+	for _, each := range []struct{ balancers, own int }{{zone, f.mostAt(group, local)}, {4 * zone, f.mostAt(group, remote)}} {
+		held += each.balancers * each.own
+	}
+	// Each balancer elsewhere may hold a part of a flow more.
+	if held > limit+5*zone {
+		t.Errorf("all together hold %d flows there", held)
+	}
+}
+
+// mostAt is how many flows this balancer holds at a back end before it avoids it.
+func (f *fleet) mostAt(group *settings.Group, member *directory.Member) int {
+	own := 0
+	for !f.steerer.connectionsOf(group, member).Avoids(own) {
+		own++
+	}
+	return own
+}
--- a/internal/steering/filters.go
+++ b/internal/steering/filters.go
@@ -51,7 +51,7 @@
 
 // connectionsOf is the limit of flows of one of the group's back ends, and who divides it.
 func (s *Steerer) connectionsOf(group *settings.Group, member *directory.Member) admission.Connections {
-	return admission.Connections{Limit: group.Connections, Zone: s.own.Count, Fleet: s.own.Fleet, Local: member.Zone == s.config.Zone}
+	return admission.Connections{Limit: group.Connections, Zone: s.own.zoneSize(), Fleet: s.own.fleetSize(), Local: member.Zone == s.config.Zone}
 }
 
 // doubts tells whether new flows avoid a back end for its silence. Silence counts from
--- a/internal/steering/turn.go
+++ b/internal/steering/turn.go
@@ -9,8 +9,15 @@
 	Zone Neighbours
 	// Fleet is the number of live balancers of all zones that are known, itself included.
 	Fleet int
+	// ZoneSize and FleetSize are how many there are, known or not, by an estimate; 0 is not estimated.
+	ZoneSize, FleetSize int
 }
 
+// zoneSize and fleetSize are how many balancers divide what a back end may have.
+func (p Place) zoneSize() int { return max(p.Count, p.ZoneSize) }
+
+func (p Place) fleetSize() int { return max(p.Fleet, p.FleetSize) }
+
 const (
 	// manyBalancers is the number in a zone from which balancers compare some back ends
 	// alone. All hear of the same least loaded one, half a second late, and many would
