Settings and some back ends go ahead of everything at a start

Change: what the first page of a listing has is put in force at once; a balancer says in its hellos that it has such an outline, and tells settings and 512 back ends, those of the asker's zone first, in one small answer. The directory stays complete up to no revision, so that everything is learned as before; packets of flows whose back end is not known yet are kept. Where all are fewer than 1,024 nothing is asked ahead. Hellos are of version 9.

Next limit: while 512 are known each balancer places among these, drawn by whoever told it.

--- a/internal/edge/answers_test.go
+++ b/internal/edge/answers_test.go
@@ -38,7 +38,7 @@
 	second, atSecond := telling(t)
 	third, _ := telling(t)
 	first.apply(&directory.Changes{Revision: 2, Settings: &directory.Settings{Version: 2, Revision: 2, Tree: routeTree(300)}}, "store", 0)
-	asked := question{1, 1}
+	asked := question{after: 1, base: 1}
 	ask(t, second, atFirst)
 	kept, passedOn := second.answers.encoded[asked]
 	if sent := first.answers.encoded[asked]; !passedOn || !bytes.Equal(kept.bytes, sent.bytes) || !kept.compressed {
@@ -53,7 +53,7 @@
 	if got := len(third.directory.View().Settings.Services); got != 299 || third.revision() != 3 {
 		t.Errorf("%d routes at revision %d after the next change", got, third.revision())
 	}
-	answer, err := (&peerSource{third, atSecond}).changes(context.Background(), question{1, 0}, 0, time.Second)
+	answer, err := (&peerSource{third, atSecond}).changes(context.Background(), question{after: 1}, 0, time.Second)
 	if err != nil || answer.Changes.Step != nil || answer.Changes.Settings == nil || len(answer.Changes.Settings.Tree) != len(routeTree(299)) {
 		t.Errorf("one whose settings are not known is told %+v, %v", answer, err)
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -60,7 +60,7 @@
 	for range 2 * maxHeld {
 		held.keep(2*time.Second, []byte("new"))
 	}
-	released := held.release(2 * time.Second)
+	released := held.release(2 * time.Second, true)
 	if len(released) != maxHeld-1 || string(released[0].datagram) != "new" {
 		t.Errorf("%d datagrams are released, the first %q", len(released), released[0].datagram)
 	}
@@ -218,7 +218,7 @@
 		t.Errorf("a node that gives no values has %v", values)
 	}
 	first.apply(&directory.Changes{Revision: 6, Gone: []directory.Gone{{ID: 9, Revision: 6}}}, "store", 0)
-	answer, err := (&peerSource{second, control}).changes(context.Background(), question{5, 1}, 0, time.Second)
+	answer, err := (&peerSource{second, control}).changes(context.Background(), question{after: 5, base: 1}, 0, time.Second)
 	if err != nil || answer.Changes == nil || answer.Listing != nil || len(answer.Changes.Gone) != 1 {
 		t.Errorf("answer %+v, %v", answer, err)
 	}
@@ -241,7 +241,7 @@
 	const wait = 10 * time.Second
 	ask := func(age time.Duration) (took, told time.Duration) {
 		began := time.Now()
-		answer, err := source.changes(context.Background(), question{5, 1}, age, wait)
+		answer, err := source.changes(context.Background(), question{after: 5, base: 1}, age, wait)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -198,7 +198,7 @@
 	n.steerBy(n.directory.Replace(n.now(), listing), from, age)
 	n.beliefs.Unlock()
 	if n.settingsKnown() {
-		n.handleHeld()
+		n.handleHeld(true)
 	}
 	if first {
 		n.announce()
@@ -248,7 +248,7 @@
 
 // question is what this balancer asks others. The beliefs lock is held.
 func (n *Node) question() question {
-	return question{n.directory.Revision(), n.directory.SettingsRevision()}
+	return question{after: n.directory.Revision(), base: n.directory.SettingsRevision()}
 }
 
 // steerBy lets packets be steered by what is believed now and tells those who
--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -2,11 +2,8 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
-	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -115,6 +112,7 @@
 		Leaving:  n.leaving.Load(),
 		Failing:  n.failing.Load(),
 		Revision: n.directory.Revision(),
+		Outline:  n.tellsOutline(),
 		StoreAge: n.beliefAge(),
 		Capacity: n.config().capacity(),
 	}
@@ -201,6 +199,8 @@
 	}
 	behind := n.lag.Note(now, n.directory.Revision(), hello.Revision)
 	teacher, found := teacherOf(hello)
+	outliner, outlined := outlineTeacherOf(hello)
+	outlined = outlined && n.directory.SettingsVersion() == 0
 	n.beliefs.Unlock()
 	if behind && !n.receiving.Load() {
 		n.stopCall()
@@ -219,22 +219,18 @@
 	if reply != nil {
 		n.sendHello(reply, hello.Control)
 	}
+	if outlined && n.outlining.CompareAndSwap(false, true) {
+		go n.learnOutline(ctx, outliner)
+	}
 	if found && n.learning.CompareAndSwap(false, true) {
 		go n.learnFrom(ctx, teacher)
 	}
 }
 
-// teacherOf returns who, by a hello, can tell everything: the sender, or one of the ablest that
-// it names, drawn by chance since many are told the same names.
+// teacherOf returns who, by a hello, can tell everything: the sender, or one of the ablest that it names.
 func teacherOf(hello *peers.Hello) (control netip.AddrPort, found bool) {
 	if hello.Revision > 0 {
 		return hello.Control, true
 	}
-	knowing := slices.DeleteFunc(slices.Clone(hello.Others), func(other peers.Introduction) bool { return !other.Knows })
-	if len(knowing) == 0 {
-		return netip.AddrPort{}, false
-	}
-	ablest := slices.MaxFunc(knowing, func(a, b peers.Introduction) int { return cmp.Compare(a.Capacity, b.Capacity) }).Capacity
-	knowing = slices.DeleteFunc(knowing, func(other peers.Introduction) bool { return other.Capacity < ablest })
-	return knowing[rand.N(len(knowing))].Control, true
+	return ablestOf(hello.Others, func(other *peers.Introduction) bool { return other.Knows })
 }
--- a/internal/edge/hello_test.go
+++ b/internal/edge/hello_test.go
@@ -16,9 +16,9 @@
 func TestAHelloFitsOneDatagram(t *testing.T) {
 	const long = time.Hour + 1
 	control := netip.MustParseAddrPort("255.255.255.255:65535")
-	hello := &peers.Hello{Control: control, Zone: "a-zone-with-a-long-name", Started: math.MaxInt64, Revision: math.MaxUint64, StoreAge: long, Full: true, Capacity: math.MaxUint8}
+	hello := &peers.Hello{Control: control, Zone: "a-zone-with-a-long-name", Started: math.MaxInt64, Revision: math.MaxUint64, StoreAge: long, Full: true, Outline: true, Capacity: math.MaxUint8}
 	for range 4 {
-		hello.Others = append(hello.Others, peers.Introduction{Control: control, Zone: hello.Zone, Knows: true, Capacity: math.MaxUint8})
+		hello.Others = append(hello.Others, peers.Introduction{Control: control, Zone: hello.Zone, Knows: true, Outline: true, Capacity: math.MaxUint8})
 	}
 	for range peers.MaxLoads {
 		hello.Loads = append(hello.Loads, peers.Load{Tag: math.MaxUint32, Units: 1 << 15, Steady: 1 << 15, Answers: 1 << 15, Millis: 1 << 17})
--- a/internal/edge/holding.go
+++ b/internal/edge/holding.go
@@ -43,11 +43,12 @@
 	return true
 }
 
-// release ends the holding and returns what is still worth sending, in order.
-func (h *holding) release(now time.Duration) []heldDatagram {
+// release returns what is still worth sending, in order. all ends the holding: everything is known, and what is
+// dropped then is dropped for good.
+func (h *holding) release(now time.Duration, all bool) []heldDatagram {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.over = true
+	h.over = h.over || all
 	worth := slices.DeleteFunc(h.held, func(held heldDatagram) bool { return now-held.at > maxHeldTime })
 	h.held = nil
 	return worth
@@ -58,9 +59,10 @@
 	return verdict.Action == steering.Drop && (verdict.Reason == errkind.NotReady || verdict.Reason == errkind.UnknownTag)
 }
 
-// handleHeld decides anew on the datagrams that came before anything was known.
-func (n *Node) handleHeld() {
-	for _, held := range n.holding.release(n.now()) {
+// handleHeld decides anew on the datagrams that came before anything was known, or all of it. What is kept again was
+// kept since then.
+func (n *Node) handleHeld(all bool) {
+	for _, held := range n.holding.release(n.now(), all) {
 		n.handleKept(held.datagram, &steering.Packet{Held: n.now() - held.at})
 	}
 }
--- a/internal/edge/listing.go
+++ b/internal/edge/listing.go
@@ -28,6 +28,10 @@
 	n.noteConfirmed(0, false)
 	n.beliefs.Unlock()
 	listing, kept := &page.Listing, page.Kept
+	if page.Next != "" && n.takeOutline(listing, "store") {
+		// They are in force, and read by others.
+		listing.Settings, listing.Prepared = nil, nil
+	}
 	for page.Next != "" {
 		if !n.proceeds(ctx, paged) {
 			return ErrListingLeft
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -102,6 +102,8 @@
 	answers answers
 	// learning is set once another balancer is asked for everything.
 	learning atomic.Bool
+	// outlining is set while another balancer is asked for an outline.
+	outlining atomic.Bool
 	// leaving is set by a planned stop.
 	leaving atomic.Bool
 	// snapshots decides when the snapshot is written. It is guarded by beliefs.
@@ -323,7 +325,7 @@
 		n.waitWith(datagram)
 		return
 	case steering.Drop:
-		if holds(&verdict) && n.holding.keep(now, datagram) {
+		if holds(&verdict) && n.holding.keep(now-packet.Held, datagram) {
 			return
 		}
 		n.metrics.dropped[verdict.Reason].Inc()
--- a/internal/edge/order_test.go
+++ b/internal/edge/order_test.go
@@ -17,7 +17,7 @@
 	done := make(chan struct{}, 2)
 	go func() {
 		for i := range uint64(rounds) {
-			n.answerPeer(httptest.NewRecorder(), question{i, 1})
+			n.answerPeer(httptest.NewRecorder(), question{after: i, base: 1})
 		}
 		done <- struct{}{}
 	}()
--- a/internal/edge/peering.go
+++ b/internal/edge/peering.go
@@ -18,6 +18,7 @@
 const (
 	pathDirectory = "/v2/directory"
 	pathChanges   = "/v2/changes"
+	pathOutline   = "/v2/outline"
 )
 
 const (
@@ -31,7 +32,7 @@
 	// maxNarrowListings is how many of them are told everything at once over a narrow link.
 	maxNarrowListings = 3
 	// helloVersion is the first byte of a hello.
-	helloVersion = 8
+	helloVersion = 9
 )
 
 // errPeerFull means that a balancer serves as many others as it can.
--- a/internal/edge/serving.go
+++ b/internal/edge/serving.go
@@ -15,6 +15,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathDirectory, n.servePeerListing)
 	mux.HandleFunc("GET "+pathChanges, n.servePeerChanges)
+	mux.HandleFunc("GET "+pathOutline, n.serveOutline)
 	return n.limitFollowers(mux)
 }
 
@@ -83,7 +84,7 @@
 			return
 		}
 	}
-	n.answerPeer(w, question{after, base})
+	n.answerPeer(w, question{after: after, base: base})
 }
 
 // knowsMore tells whether this balancer knows of changes after a revision, or of a newer
@@ -101,6 +102,8 @@
 	after uint64
 	// base is the revision of the settings that it has in force.
 	base uint64
+	// zone is that of an asker that wants an outline, empty for all others.
+	zone string
 }
 
 // answerPeer tells another balancer what is believed here.
@@ -130,6 +133,9 @@
 func (n *Node) answerTo(q question) *peerAnswer {
 	n.beliefs.Lock()
 	defer n.beliefs.Unlock()
+	if q.zone != "" {
+		return &peerAnswer{Listing: n.directory.Outline(q.zone)}
+	}
 	if q.after > 0 {
 		if changes, known := n.directory.Since(q.after, q.base); known {
 			return &peerAnswer{Changes: changes}
--- a/internal/emulator/listing.go
+++ b/internal/emulator/listing.go
@@ -50,7 +50,11 @@
 		n.kept = answer.kept
 		n.noteConfirmed(0, false)
 	}
+	first := len(listing.Records) == 0
 	listing.Records = append(listing.Records, answer.records...)
+	if first && answer.more {
+		n.takeOutline(listing)
+	}
 	if answer.more {
 		n.goOnListing(paged, listing, answer.last, end)
 		return
@@ -60,6 +64,18 @@
 	end(follow.Outcome{})
 }
 
+// takeOutline lets new flows be placed by the first page of a listing where nothing is known yet.
+func (n *node) takeOutline(outline *directory.Listing) {
+	if n.directory.SettingsVersion() > 0 {
+		return
+	}
+	n.directory.TakeOutline(n.now(), outline)
+	n.setView()
+	if n.ready = n.directory.SettingsVersion() > 0; n.ready {
+		n.handleHeld()
+	}
+}
+
 // listAgain asks for a page that failed again, where the listing says so.
 func (n *node) listAgain(paged *follow.Listing, listing *directory.Listing, after settings.BackendID, end func(follow.Outcome)) {
 	wait, again := paged.Failed(storeAnswer)
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -221,6 +221,11 @@
 	n.setView()
 	n.ready = n.directory.SettingsVersion() > 0
 	n.wakePolls()
+	n.handleHeld()
+}
+
+// handleHeld decides anew on what came before anything, or all of it, was known.
+func (n *node) handleHeld() {
 	held := n.held
 	n.held = nil
 	for _, kept := range held {
@@ -263,7 +268,7 @@
 	n.world.trace(d.client, "balancer %s: kind %d attempt %d tag %08x: action %d reason %v to %v", n.control, packet.Kind, packet.Attempt, uint32(packet.Tag), verdict.Action, verdict.Reason, verdictServer(&verdict))
 	switch verdict.Action {
 	case steering.Drop:
-		if !n.ready {
+		if !n.ready || n.directory.Revision() == 0 && verdict.Reason == errkind.UnknownTag {
 			n.held = append(n.held, heldDatagram{d, n.now()})
 		}
 	case steering.Wait:
--- a/internal/peers/hello.go
+++ b/internal/peers/hello.go
@@ -23,6 +23,9 @@
 	Failing bool
 	// Revision is up to where the sender's beliefs are complete.
 	Revision uint64
+	// Outline is set where the sender has settings and back ends to tell to those that start ahead of everything,
+	// since it does not know all yet, or all takes long.
+	Outline bool
 	// StoreAge is how long ago the store confirmed them, directly or along the chain.
 	StoreAge time.Duration
 	// Others are more balancers.
@@ -110,6 +113,8 @@
 	Zone    string
 	// Knows is set for one that knows settings, as far as the sender has heard.
 	Knows bool
+	// Outline is set for one that has an outline.
+	Outline bool
 	// Capacity is what that one told the sender of itself.
 	Capacity Capacity
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -183,6 +183,12 @@
 		if aKnows, bKnows := a.Revision > 0, b.Revision > 0; !knows && aKnows != bKnows {
 			return cmp.Compare(b.Revision, a.Revision)
 		}
+		if !knows && a.Revision == 0 && a.Outline != b.Outline {
+			if a.Outline {
+				return -1
+			}
+			return 1
+		}
 		if !knows && a.Revision > 0 && a.Capacity != b.Capacity {
 			return cmp.Compare(b.Capacity, a.Capacity)
 		}
@@ -197,7 +203,7 @@
 	var named []Introduction
 	for _, peer := range alive {
 		if peer.Control != asker.Control && len(named) < sampleSize {
-			named = append(named, Introduction{Control: peer.Control, Zone: peer.Zone, Knows: peer.Revision > 0, Capacity: peer.Capacity})
+			named = append(named, Introduction{Control: peer.Control, Zone: peer.Zone, Knows: peer.Revision > 0, Outline: peer.Outline, Capacity: peer.Capacity})
 		}
 	}
 	return named
