--- a/bench/bound/outage.go
+++ b/bench/bound/outage.go
@@ -76,6 +76,9 @@
 	// machines are the balancers by zone, also those that came during the day.
 	machines map[string][]string
 	downs    []down
+	// byMachine has the indexes of downs: with 986 machines that all go down, to look through them for each
+	// machine at each moment takes hours.
+	byMachine map[string][]int
 }
 
 func newFleet(site *Site, report *Report) (*fleet, error) {
@@ -83,7 +86,10 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{machines: map[string][]string{}, downs: list}
+	f := &fleet{machines: map[string][]string{}, downs: list, byMachine: map[string][]int{}}
+	for i, d := range list {
+		f.byMachine[d.machine] = append(f.byMachine[d.machine], i)
+	}
 	for _, m := range site.Machines {
 		for range m.Count {
 			f.add(fmt.Sprintf("%s-%s-%d", m.Class, m.Zone, len(f.machines[m.Zone])+1))
@@ -140,14 +146,22 @@
 
 // backAt returns when the machine's balancer runs again, at if it runs.
 func (f *fleet) backAt(machine string, at time.Duration) time.Duration {
-	for _, d := range f.downs {
-		if d.machine == machine && d.has(at) {
-			return d.to
-		}
+	if d, down := f.downAt(machine, at); down {
+		return d.to
 	}
 	return at
 }
 
+// downAt returns the time around the moment in which the machine's balancer does not run, if there is one.
+func (f *fleet) downAt(machine string, at time.Duration) (d down, found bool) {
+	for _, i := range f.byMachine[machine] {
+		if f.downs[i].has(at) {
+			return f.downs[i], true
+		}
+	}
+	return down{}, false
+}
+
 // reach is one way for a request to fare: with the share of the zone's flows that have it, its
 // packets reach a running balancer from the moment on.
 type reach struct {
@@ -163,27 +177,22 @@
 		return []reach{{1, at}}
 	}
 	var list []reach
+	usable := f.usable(zone, at)
 	for _, machine := range machines {
-		list = append(list, reach{1 / float64(len(machines)), f.reachedBy(zone, machine, at)})
+		list = append(list, reach{1 / float64(len(machines)), f.reachedBy(machine, at, usable)})
 	}
 	return list
 }
 
 // reachedBy returns when a flow that the routers hand to the machine reaches a running
 // balancer: when that one runs, or when the routers may have left it out. They do not while
-// fewer than half of a zone's balancers run, unless none does and one elsewhere does.
-func (f *fleet) reachedBy(zone, machine string, at time.Duration) time.Duration {
-	back := f.backAt(machine, at)
-	if back == at {
+// fewer than half of a zone's balancers run, unless none does and one elsewhere does: from usable on.
+func (f *fleet) reachedBy(machine string, at, usable time.Duration) time.Duration {
+	d, down := f.downAt(machine, at)
+	if !down {
 		return at
 	}
-	struck := at
-	for _, d := range f.downs {
-		if d.machine == machine && d.has(at) {
-			struck = d.from
-		}
-	}
-	return min(back, max(at, struck+probeTime, f.usable(zone, at)))
+	return min(d.to, max(at, d.from+probeTime, usable))
 }
 
 // usable returns when routers may send the zone's flows to running balancers alone: when half
