--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -60,7 +60,7 @@
 	for range 2 * maxHeld {
 		held.keep(2*time.Second, []byte("new"))
 	}
-	released := held.release(2 * time.Second, true)
+	released := held.release(2*time.Second, true)
 	if len(released) != maxHeld-1 || string(released[0].datagram) != "new" {
 		t.Errorf("%d datagrams are released, the first %q", len(released), released[0].datagram)
 	}
--- a/internal/edge/outline.go
+++ b/internal/edge/outline.go
@@ -80,8 +80,8 @@
 	n.takeOutline(answer.Listing, control.String())
 }
 
-// takeOutline lets new flows be placed by an outline, and tells whether anything was known before. Packets of flows
-// whose back end is not in it wait for the rest.
+// takeOutline lets new flows be placed by an outline where no settings are known yet, and tells whether its settings
+// are in force by it. Packets of flows whose back end is not in it wait for the rest.
 func (n *Node) takeOutline(outline *directory.Listing, from string) (taken bool) {
 	n.withDefaults(outline.Settings)
 	outline.Prepared = n.prepare(outline.Settings, nil)
