settings, edge: the nearest allowed value of a setting, and a report of corrected entries

Tree.SetNearest sets the nearest allowed value for one that is out of range and returns the difference. An adapter can report a value that it replaced or a part that it left out; the process counts it and logs it as "entry corrected". Nothing calls either yet, so nothing changes for callers. The ranges of numbers, durations and sizes are one generic type in place of four closures.

Numbers that no machine type holds ("1e400") are now "out of range" in place of "not a number".

--- a/internal/edge/adapter.go
+++ b/internal/edge/adapter.go
@@ -77,6 +77,15 @@
 // ErrListingAbandoned means that a listing was not finished since it is not needed any more.
 var ErrListingAbandoned = errors.New("the listing was abandoned")
 
+// Report receives what an adapter finds wrong with entries of the store.
+type Report struct {
+	// Rejected is called for each entry that cannot be used.
+	Rejected func(err error)
+	// Corrected is called for each value that was replaced by the nearest supported one, and for each part
+	// that was left out, of an entry that is used otherwise.
+	Corrected func(err error)
+}
+
 // Adapter connects the process to a platform.
 type Adapter struct {
 	Codec  Codec
--- a/internal/edge/main.go
+++ b/internal/edge/main.go
@@ -45,9 +45,8 @@
 	return "gaugeyard-platform runs a balancer on a platform whose packets carry tags."
 }
 
-// Main runs the process and returns its exit code. adapt returns the adapter of the platform; the adapter
-// calls rejected for each entry of the desired state that it cannot use.
-func Main(args []string, out, errOut io.Writer, adapt func(config *Config, rejected func(err error)) Adapter) int {
+// Main runs the process and returns its exit code. adapt returns the adapter of the platform.
+func Main(args []string, out, errOut io.Writer, adapt func(config *Config, report Report) Adapter) int {
 	var parsed arguments
 	parser, err := arg.NewParser(arg.Config{Program: "gaugeyard-platform"}, &parsed)
 	if err != nil {
@@ -77,7 +76,7 @@
 
 // run serves until the planned stop that SIGTERM or an interrupt starts is over. An interrupt during the
 // stop ends the process at once. SIGHUP reloads the settings file.
-func run(path string, config Config, out, errOut io.Writer, adapt func(config *Config, rejected func(err error)) Adapter) int {
+func run(path string, config Config, out, errOut io.Writer, adapt func(config *Config, report Report) Adapter) int {
 	debug.SetGCPercent(startGCPercent)
 	node, err := New(config, out)
 	if err != nil {
@@ -85,7 +84,7 @@
 		return exitFailed
 	}
 	node.onSettingsKnown = func() { debug.SetGCPercent(gcPercent) }
-	node.adapter = adapt(&config, node.rejected)
+	node.adapter = adapt(&config, Report{Rejected: node.rejected, Corrected: node.corrected})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer node.listenSignals(path, cancel)()
@@ -152,3 +151,9 @@
 	n.metrics.entriesRejected[errkind.Of(err)].Inc()
 	n.logFlow(&n.exceptionLines, "entry rejected", "revision", n.viewRevision.Load(), "error", err)
 }
+
+// corrected counts and logs a value that was replaced, or a part that was left out, of an entry that is used.
+func (n *Node) corrected(err error) {
+	n.metrics.entriesCorrected.Inc()
+	n.logFlow(&n.exceptionLines, "entry corrected", "revision", n.viewRevision.Load(), "error", err)
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -26,6 +26,7 @@
 	answersForwarded                                 *metrics.Counter
 	refused, dropped                                 map[errkind.Kind]*metrics.Counter
 	entriesRejected                                  map[errkind.Kind]*metrics.Counter
+	entriesCorrected                                 *metrics.Counter
 	byPart                                           map[steering.PartReason]*metrics.Counter
 	handling                                         *metrics.Histogram
 }
@@ -56,6 +57,7 @@
 		refused:          map[errkind.Kind]*metrics.Counter{},
 		dropped:          map[errkind.Kind]*metrics.Counter{},
 		entriesRejected:  map[errkind.Kind]*metrics.Counter{},
+		entriesCorrected: set.NewCounter("gaugeyard_entries_corrected_total"),
 		handling:         set.NewHistogram("gaugeyard_packet_handling_seconds"),
 		byPart:           map[steering.PartReason]*metrics.Counter{},
 		expired:          set.NewCounter("gaugeyard_backends_lapsed_total"),
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -23,7 +23,10 @@
 package settings
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -93,35 +96,42 @@
 	// Allowed describes the accepted values, for operators.
 	Allowed string
 	// Help is one line for the reference page.
-	Help string
-	// canonical parses a value and returns its canonical form.
-	canonical func(text string) (string, error)
+	Help   string
+	format valueFormat
+}
+
+// valueFormat parses the text of a value and returns its canonical form.
+type valueFormat interface {
+	// canonical returns an error if the value is not allowed.
+	canonical(text string) (string, error)
+	// nearest is like canonical, but returns the nearest allowed value for one that is out of range.
+	nearest(text string) (string, error)
 }
 
 // Fields lists every setting in the order of the reference page.
 var Fields = []Field{
-	{KeyAddress, "", LevelService, LevelBackend, "IP:port", "Where callers reach a service, or where a back end listens.", canonicalAddress},
-	{KeyBackendsFrom, "", LevelService, LevelService, "name of a service", "Uses the zones, groups and back ends of another service.", canonicalName},
-	{KeyState, "active", LevelBackend, LevelBackend, "active or drain", "A back end in drain gets no new flow.", canonicalWord("active", "drain")},
-	{KeyEvacuated, "false", LevelZone, LevelZone, "true or false", "The back ends of an evacuated zone get no new flow, whatever their state.", canonicalWord("true", "false")},
-	{KeyLoadAddress, "", LevelBackend, LevelBackend, "IP:port", "Where a back end reports its load over HTTP at /metrics; without it, it reports none.", canonicalAddress},
-	{KeyWeight, "1", LevelBackend, LevelBackend, "0.01 to 100", "Share of new flows relative to the group's other back ends.", canonicalFloat(0.01, 100)},
-	{KeySlots, "2", LevelRoot, LevelBackend, "1 to 4096", "Requests that a back end runs at once.", canonicalInt(1, 4096)},
-	{KeyConnections, "2000", LevelRoot, LevelBackend, "1 to 1000000", "Flows that a back end holds at once, over all balancers.", canonicalInt(1, 1000000)},
-	{KeyQueueFactor, "6", LevelRoot, LevelBackend, "1 to 100", "Requests in flight to a back end over all balancers, as a multiple of its slots.", canonicalFloat(1, 100)},
-	{KeyRequestDeadline, "2s", LevelRoot, LevelService, "10ms to 10m", "Time from a request's arrival until it is given up.", canonicalDuration(10*time.Millisecond, 10*time.Minute)},
-	{KeyRequestLifetime, "45s", LevelRoot, LevelService, "1s to 10m", "Time during which copies of one request may still arrive.", canonicalDuration(time.Second, 10*time.Minute)},
-	{KeyRepeatable, "false", LevelRoot, LevelService, "true or false", "Whether a request may run twice without harm.", canonicalWord("true", "false")},
-	{KeyRetryBudget, "0.2", LevelRoot, LevelService, "0 to 10", "Retransmissions forwarded, as a share of first transmissions.", canonicalFloat(0, 10)},
-	{KeyFlowIdle, "5m", LevelRoot, LevelService, "1s to 24h", "Time without a datagram after which a flow is forgotten.", canonicalDuration(time.Second, 24*time.Hour)},
-	{KeySlowStart, "10s", LevelRoot, LevelGroup, "0s to 10m", "Time over which a new back end's share grows to full.", canonicalDuration(0, 10*time.Minute)},
-	{KeyDrainTime, "10m", LevelRoot, LevelGroup, "0s to 24h", "Longest time that a draining back end keeps its flows before status calls it overdue.", canonicalDuration(0, 24*time.Hour)},
-	{KeyLoadFactor, "1.05", LevelRoot, LevelService, "1 to 10", "The placement dial: how far above the mean a back end's flows may rise before a new flow leaves its default place. Low evens load; high keeps flows at their defaults.", canonicalFloat(1, 10)},
-	{KeyRefusalRetry, "1s", LevelRoot, LevelService, "1s to 10m", "Time after which a refused caller is told to come back.", canonicalDuration(time.Second, 10*time.Minute)},
-	{KeyDiscover, "", LevelGroup, LevelGroup, "name that servers announce, 1 to 200 characters", "The group's back ends are the servers that announce themselves under this name.", canonicalLabel},
-	{KeyShare, "1", LevelGroup, LevelGroup, "0 to 1000000", "Share of the service's new flows relative to its other groups.", canonicalFloat(0, 1000000)},
-	{KeyWarmUpRate, "0", LevelRoot, LevelGroup, "0 to 1000000", "New flows a second that one of the group's servers gets over all balancers while it announces that it warms up; 0 is no limit.", canonicalFloat(0, 1000000)},
-	{KeyMaxDatagram, "4KiB", LevelRoot, LevelService, "64B to 60KiB", "Largest datagram accepted from a caller or back end.", canonicalSize(64, 60<<10)},
+	{KeyAddress, "", LevelService, LevelBackend, "IP:port", "Where callers reach a service, or where a back end listens.", exactFormat(canonicalAddress)},
+	{KeyBackendsFrom, "", LevelService, LevelService, "name of a service", "Uses the zones, groups and back ends of another service.", exactFormat(canonicalName)},
+	{KeyState, "active", LevelBackend, LevelBackend, "active or drain", "A back end in drain gets no new flow.", wordFormat("active", "drain")},
+	{KeyEvacuated, "false", LevelZone, LevelZone, "true or false", "The back ends of an evacuated zone get no new flow, whatever their state.", wordFormat("true", "false")},
+	{KeyLoadAddress, "", LevelBackend, LevelBackend, "IP:port", "Where a back end reports its load over HTTP at /metrics; without it, it reports none.", exactFormat(canonicalAddress)},
+	{KeyWeight, "1", LevelBackend, LevelBackend, "0.01 to 100", "Share of new flows relative to the group's other back ends.", floatFormat(0.01, 100)},
+	{KeySlots, "2", LevelRoot, LevelBackend, "1 to 4096", "Requests that a back end runs at once.", intFormat(1, 4096)},
+	{KeyConnections, "2000", LevelRoot, LevelBackend, "1 to 1000000", "Flows that a back end holds at once, over all balancers.", intFormat(1, 1000000)},
+	{KeyQueueFactor, "6", LevelRoot, LevelBackend, "1 to 100", "Requests in flight to a back end over all balancers, as a multiple of its slots.", floatFormat(1, 100)},
+	{KeyRequestDeadline, "2s", LevelRoot, LevelService, "10ms to 10m", "Time from a request's arrival until it is given up.", durationFormat(10*time.Millisecond, 10*time.Minute)},
+	{KeyRequestLifetime, "45s", LevelRoot, LevelService, "1s to 10m", "Time during which copies of one request may still arrive.", durationFormat(time.Second, 10*time.Minute)},
+	{KeyRepeatable, "false", LevelRoot, LevelService, "true or false", "Whether a request may run twice without harm.", wordFormat("true", "false")},
+	{KeyRetryBudget, "0.2", LevelRoot, LevelService, "0 to 10", "Retransmissions forwarded, as a share of first transmissions.", floatFormat(0, 10)},
+	{KeyFlowIdle, "5m", LevelRoot, LevelService, "1s to 24h", "Time without a datagram after which a flow is forgotten.", durationFormat(time.Second, 24*time.Hour)},
+	{KeySlowStart, "10s", LevelRoot, LevelGroup, "0s to 10m", "Time over which a new back end's share grows to full.", durationFormat(0, 10*time.Minute)},
+	{KeyDrainTime, "10m", LevelRoot, LevelGroup, "0s to 24h", "Longest time that a draining back end keeps its flows before status calls it overdue.", durationFormat(0, 24*time.Hour)},
+	{KeyLoadFactor, "1.05", LevelRoot, LevelService, "1 to 10", "The placement dial: how far above the mean a back end's flows may rise before a new flow leaves its default place. Low evens load; high keeps flows at their defaults.", floatFormat(1, 10)},
+	{KeyRefusalRetry, "1s", LevelRoot, LevelService, "1s to 10m", "Time after which a refused caller is told to come back.", durationFormat(time.Second, 10*time.Minute)},
+	{KeyDiscover, "", LevelGroup, LevelGroup, "name that servers announce, 1 to 200 characters", "The group's back ends are the servers that announce themselves under this name.", exactFormat(canonicalLabel)},
+	{KeyShare, "1", LevelGroup, LevelGroup, "0 to 1000000", "Share of the service's new flows relative to its other groups.", floatFormat(0, 1000000)},
+	{KeyWarmUpRate, "0", LevelRoot, LevelGroup, "0 to 1000000", "New flows a second that one of the group's servers gets over all balancers while it announces that it warms up; 0 is no limit.", floatFormat(0, 1000000)},
+	{KeyMaxDatagram, "4KiB", LevelRoot, LevelService, "64B to 60KiB", "Largest datagram accepted from a caller or back end.", sizeFormat(64, 60<<10)},
 }
 
 // fieldsByKey maps a key to its entry in Fields.
@@ -142,6 +152,39 @@
 	return *field, true
 }
 
+// exactFormat is a format without a range: no value is near another.
+type exactFormat func(text string) (string, error)
+
+func (f exactFormat) canonical(text string) (string, error) { return f(text) }
+func (f exactFormat) nearest(text string) (string, error)   { return f(text) }
+
+// rangeFormat is the format of numbers, durations and sizes between low and high.
+type rangeFormat[T cmp.Ordered] struct {
+	low, high T
+	// parse saturates values that T cannot hold, where it can parse them.
+	parse  func(text string) (T, error)
+	format func(value T) string
+}
+
+func (f rangeFormat[T]) canonical(text string) (string, error) {
+	value, err := f.parse(text)
+	if err != nil {
+		return "", err
+	}
+	if value < f.low || value > f.high {
+		return "", fmt.Errorf("out of range")
+	}
+	return f.format(value), nil
+}
+
+func (f rangeFormat[T]) nearest(text string) (string, error) {
+	value, err := f.parse(text)
+	if err != nil {
+		return "", err
+	}
+	return f.format(min(max(value, f.low), f.high)), nil
+}
+
 func canonicalAddress(text string) (string, error) {
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
@@ -175,7 +218,7 @@
 	return text, nil
 }
 
-func canonicalWord(words ...string) func(string) (string, error) {
+func wordFormat(words ...string) exactFormat {
 	return func(text string) (string, error) {
 		if !slices.Contains(words, text) {
 			return "", fmt.Errorf("not an allowed value")
@@ -184,43 +227,42 @@
 	}
 }
 
-func canonicalInt(low, high int) func(string) (string, error) {
-	return func(text string) (string, error) {
-		value, err := strconv.Atoi(text)
-		if err != nil {
-			return "", fmt.Errorf("not a whole number")
-		}
-		if value < low || value > high {
-			return "", fmt.Errorf("out of range")
-		}
-		return strconv.Itoa(value), nil
+func intFormat(low, high int) rangeFormat[int] {
+	return rangeFormat[int]{low, high, parseInt, strconv.Itoa}
+}
+
+func parseInt(text string) (int, error) {
+	value, err := strconv.Atoi(text)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0, fmt.Errorf("not a whole number")
 	}
+	return value, nil
 }
 
-func canonicalFloat(low, high float64) func(string) (string, error) {
-	return func(text string) (string, error) {
-		value, err := strconv.ParseFloat(text, 64)
-		if err != nil {
-			return "", fmt.Errorf("not a number")
-		}
-		if !(value >= low && value <= high) {
-			return "", fmt.Errorf("out of range")
-		}
-		return strconv.FormatFloat(value, 'g', -1, 64), nil
+func floatFormat(low, high float64) rangeFormat[float64] {
+	return rangeFormat[float64]{low, high, parseFloat, formatFloat}
+}
+
+func parseFloat(text string) (float64, error) {
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(value) {
+		return 0, fmt.Errorf("not a number")
 	}
+	return value, nil
 }
 
-func canonicalDuration(low, high time.Duration) func(string) (string, error) {
-	return func(text string) (string, error) {
-		value, err := time.ParseDuration(text)
-		if err != nil {
-			return "", fmt.Errorf("not a duration with a unit")
-		}
-		if value < low || value > high {
-			return "", fmt.Errorf("out of range")
-		}
-		return value.String(), nil
+func formatFloat(value float64) string { return strconv.FormatFloat(value, 'g', -1, 64) }
+
+func durationFormat(low, high time.Duration) rangeFormat[time.Duration] {
+	return rangeFormat[time.Duration]{low, high, parseDuration, time.Duration.String}
+}
+
+func parseDuration(text string) (time.Duration, error) {
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, fmt.Errorf("not a duration with a unit")
 	}
+	return value, nil
 }
 
 var sizeUnits = []struct {
@@ -244,18 +286,13 @@
 	return 0, fmt.Errorf("not a size with a unit")
 }
 
-func canonicalSize(low, high int) func(string) (string, error) {
-	return func(text string) (string, error) {
-		value, err := parseSize(text)
-		if err != nil {
-			return "", err
-		}
-		if value < low || value > high {
-			return "", fmt.Errorf("out of range")
-		}
-		if value%(1<<10) == 0 {
-			return strconv.Itoa(value>>10) + "KiB", nil
-		}
-		return strconv.Itoa(value) + "B", nil
+func sizeFormat(low, high int) rangeFormat[int] {
+	return rangeFormat[int]{low, high, parseSize, formatSize}
+}
+
+func formatSize(value int) string {
+	if value%(1<<10) == 0 {
+		return strconv.Itoa(value>>10) + "KiB"
 	}
+	return strconv.Itoa(value) + "B"
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -309,3 +309,47 @@
 		}
 	}
 }
+
+// TestNearestValueReplacesOneOutOfRange checks that SetNearest sets the nearest allowed value, reports only
+// differences, and still refuses what has no value near it.
+func TestNearestValueReplacesOneOutOfRange(t *testing.T) {
+	for _, test := range []struct {
+		path       Path
+		key        Key
+		text, used string
+		adjusted   bool
+	}{
+		{"", KeyFlowIdle, "15s", "15s", false},
+		{"", KeyFlowIdle, "86400s", "24h0m0s", false},
+		{"", KeyFlowIdle, "168h", "24h0m0s", true},
+		{"", KeyFlowIdle, "-1ms", "1s", true},
+		{"", KeyConnections, "1000001", "1000000", true},
+		{"", KeyConnections, "99999999999999999999", "1000000", true},
+		{"", KeyConnections, "-99999999999999999999", "1", true},
+		{"a/b/c", KeyShare, "1e400", "1e+06", true},
+		{"a/b/c", KeyShare, "-0.5", "0", true},
+		{"", KeyMaxDatagram, "1MiB", "60KiB", true},
+	} {
+		tree := Tree{}
+		adjustment, err := tree.SetNearest(test.path, test.key, test.text)
+		if err != nil || tree[test.path][test.key] != test.used || (adjustment != nil) != test.adjusted {
+			t.Errorf("%s=%s: %v, %v, %v", test.key, test.text, tree, adjustment, err)
+		}
+		if adjustment != nil && (adjustment.Given != test.text || adjustment.Used != test.used) {
+			t.Errorf("%s=%s is reported as %v", test.key, test.text, adjustment)
+		}
+	}
+	for _, test := range []struct {
+		path Path
+		key  Key
+		text string
+	}{
+		{"", KeyFlowIdle, "long"}, {"", KeyConnections, "1.5"}, {"a/b/c", KeyShare, "NaN"}, {"", KeyMaxDatagram, "1"},
+		{"a", KeyAddress, "nowhere"}, {"a", KeyShare, "1"}, {"", KeyRepeatable, "perhaps"},
+	} {
+		tree := Tree{}
+		if adjustment, err := tree.SetNearest(test.path, test.key, test.text); err == nil || adjustment != nil || len(tree) > 0 {
+			t.Errorf("%s=%s: %v, %v, %v", test.key, test.text, tree, adjustment, err)
+		}
+	}
+}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -124,6 +124,43 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
+	t.setCanonical(path, key, canonical)
+	return nil
+}
+
+// SetNearest is like Set, but sets the nearest allowed value for one that is out of range, and then returns
+// the difference, which is nil otherwise. It is for settings whose author cannot be asked for another value.
+func (t Tree) SetNearest(path Path, key Key, text string) (*Adjustment, error) {
+	field, err := fieldAt(path.Level(), key)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	used, err := field.format.nearest(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, field.invalid(text, err))
+	}
+	t.setCanonical(path, key, used)
+	if _, err := field.format.canonical(text); err == nil {
+		return nil, nil
+	}
+	return &Adjustment{Path: path, Key: key, Given: text, Used: used}, nil
+}
+
+// Adjustment states that a value was out of range and the nearest allowed one was set.
+type Adjustment struct {
+	Path Path
+	Key  Key
+	// Given is the value as written, Used the canonical one that was set.
+	Given, Used string
+}
+
+// Error implements error.
+func (a *Adjustment) Error() string {
+	return fmt.Sprintf("%s: %s=%q is out of range, %s is used; allowed: %s", a.Path, a.Key, a.Given, a.Used, fieldsByKey[a.Key].Allowed)
+}
+
+// setCanonical sets a canonical value.
+func (t Tree) setCanonical(path Path, key Key, canonical string) {
 	// Nodes may share their values, so they are copied.
 	values := maps.Clone(t[path])
 	if values == nil {
@@ -131,27 +168,40 @@
 	}
 	values[key] = canonical
 	t[path] = values
-	return nil
 }
 
 // canonicalAt returns the canonical form of a value for a node of the level, or an error if the
 // value is not allowed there.
 func canonicalAt(level Level, key Key, text string) (string, error) {
+	field, err := fieldAt(level, key)
+	if err != nil {
+		return "", err
+	}
+	canonical, err := field.format.canonical(text)
+	if err != nil {
+		return "", field.invalid(text, err)
+	}
+	return canonical, nil
+}
+
+// fieldAt returns the description of the key, or an error if nodes of the level have no such setting.
+func fieldAt(level Level, key Key) (*Field, error) {
 	field := fieldsByKey[key]
 	if field == nil {
-		return "", fmt.Errorf("unknown setting %q", key)
+		return nil, fmt.Errorf("unknown setting %q", key)
 	}
 	if level >= levelCount {
-		return "", fmt.Errorf("at most service/zone/group/backend")
+		return nil, fmt.Errorf("at most service/zone/group/backend")
 	}
 	if level < field.MinLevel || level > field.MaxLevel || (key == KeyAddress && level != LevelService && level != LevelBackend) {
-		return "", fmt.Errorf("%s cannot be set on a %s", key, level)
-	}
-	canonical, err := field.canonical(text)
-	if err != nil {
-		return "", fmt.Errorf("%s=%q: %w; allowed: %s", key, text, err, field.Allowed)
+		return nil, fmt.Errorf("%s cannot be set on a %s", key, level)
 	}
-	return canonical, nil
+	return field, nil
+}
+
+// invalid returns an error for a value that is not allowed.
+func (f *Field) invalid(text string, reason error) error {
+	return fmt.Errorf("%s=%q: %w; allowed: %s", f.Key, text, reason, f.Allowed)
 }
 
 // Parse parses a tree from YAML and validates it. It returns every error found. Errors in names and
