directory: settings are known by their presence, not by a version above 0

What callers would see: if the operators' first version is 0, no balancer ever becomes ready.

Change: Directory.HasSettings, in their place.

TestVersionZeroIsKnown, with the uses of the version as before: FAIL (readiness 503 after a listing and after a summary); now ok.

--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -33,7 +33,10 @@
 // SettingsRevision returns the store's revision of the settings in force, 0 for none.
 func (d *Directory) SettingsRevision() uint64 { return d.settings.Revision }
 
-// SettingsVersion returns the operators' version of the settings in force, 0 for none.
+// HasSettings reports whether settings are in force.
+func (d *Directory) HasSettings() bool { return d.resolved != nil }
+
+// SettingsVersion returns the operators' version of the settings in force. Operators may use any number, also 0.
 func (d *Directory) SettingsVersion() uint64 { return d.settings.Version }
 
 // applySettings puts newer settings in force. It uses prepared settings if their base is still in
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -196,6 +196,23 @@
 	}
 }
 
+// TestVersionZeroIsKnown guards against a balancer that never becomes ready since the operators' version is 0.
+func TestVersionZeroIsKnown(t *testing.T) {
+	zero := listing(t, 5)
+	zero.Settings.Version = 0
+	first := newTestNode(t, &fakeSource{listing: zero})
+	if err := first.listStore(context.Background(), 0); err != nil {
+		t.Fatal(err)
+	}
+	second := newTestNode(t, &fakeSource{})
+	if !second.applySummary(first.directory.Summary("a"), "a peer") {
+		t.Error("a summary with version 0 is not in force")
+	}
+	if readiness(first) != http.StatusOK || readiness(second) != http.StatusOK {
+		t.Errorf("readiness %d after a listing, %d after a summary", readiness(first), readiness(second))
+	}
+}
+
 // TestBalancersExchangeState checks that a balancer receives the full listing of another one, and later the changes
 // alone.
 func TestBalancersExchangeState(t *testing.T) {
--- a/internal/edge/hello.go
+++ b/internal/edge/hello.go
@@ -216,7 +216,7 @@
 	behind := n.lag.Observe(now, n.directory.Revision(), hello.Revision)
 	source, found := listingSource(hello)
 	summaryPeer, summaryFound := summarySource(hello)
-	summaryFound = summaryFound && n.directory.SettingsVersion() == 0
+	summaryFound = summaryFound && !n.directory.HasSettings()
 	n.stateMutex.Unlock()
 	if behind && !n.receiving.Load() {
 		n.supersedeCall()
--- a/internal/edge/readiness.go
+++ b/internal/edge/readiness.go
@@ -26,7 +26,7 @@
 func (n *Node) settingsKnown() bool {
 	n.stateMutex.Lock()
 	defer n.stateMutex.Unlock()
-	return n.directory.SettingsVersion() > 0
+	return n.directory.HasSettings()
 }
 
 func (n *Node) readyHandler() http.Handler {
--- a/internal/edge/summary.go
+++ b/internal/edge/summary.go
@@ -22,7 +22,7 @@
 
 // offersSummary reports whether hellos of this balancer offer a summary. The state mutex must be held.
 func (n *Node) offersSummary() bool {
-	if n.directory.SettingsVersion() == 0 {
+	if !n.directory.HasSettings() {
 		return false
 	}
 	count, _ := n.directory.Live()
@@ -87,7 +87,7 @@
 	n.applyDefaults(summary.Settings)
 	summary.Prepared = n.prepare(summary.Settings, nil)
 	n.stateMutex.Lock()
-	if n.directory.SettingsVersion() > 0 {
+	if n.directory.HasSettings() {
 		n.stateMutex.Unlock()
 		return false
 	}
@@ -95,7 +95,7 @@
 	n.generation++
 	n.installView()
 	n.logEvents(events, from, 0)
-	known := n.directory.SettingsVersion() > 0
+	known := n.directory.HasSettings()
 	n.stateMutex.Unlock()
 	if known {
 		n.handleQueued(false)
--- a/internal/emulator/listing.go
+++ b/internal/emulator/listing.go
@@ -67,12 +67,12 @@
 // applySummary applies the first page of a listing if the balancer has no settings yet, so that it
 // can place new flows.
 func (n *node) applySummary(summary *directory.Listing) {
-	if n.directory.SettingsVersion() > 0 {
+	if n.directory.HasSettings() {
 		return
 	}
 	n.directory.ApplySummary(n.now(), summary)
 	n.setView()
-	if n.ready = n.directory.SettingsVersion() > 0; n.ready {
+	if n.ready = n.directory.HasSettings(); n.ready {
 		n.handleHeld()
 	}
 }
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -222,7 +222,7 @@
 		n.directory.Forget(n.now())
 	}
 	n.setView()
-	n.ready = n.directory.SettingsVersion() > 0
+	n.ready = n.directory.HasSettings()
 	n.sendPendingReplies()
 	n.handleHeld()
 }
