steering: a warm-up rate too small for a duration keeps its limit

What callers would see: servers that warm up get new flows without a limit (FAILBACK), if warmupPerS is below about 1e-10.

Cause: 1/rate seconds overflowed a duration and became a time in the past.

Change: the interval is at most some 146 years.

--- a/internal/steering/warmup.go
+++ b/internal/steering/warmup.go
@@ -57,8 +57,12 @@
 	return warmUp{true, placers, seconds(1 / each)}
 }
 
+// maxSeconds is some 146 years: a time on the process's clock plus that does not overflow.
+const maxSeconds = float64(1<<62) / float64(time.Second)
+
+// seconds converts a number of seconds, at most maxSeconds.
 func seconds(count float64) time.Duration {
-	return time.Duration(count * float64(time.Second))
+	return time.Duration(min(count, maxSeconds) * float64(time.Second))
 }
 
 // warmUpBlocks reports whether this balancer must not send a new flow to a back end that is
--- a/internal/steering/warmup_test.go
+++ b/internal/steering/warmup_test.go
@@ -36,6 +36,18 @@
 	}
 }
 
+// TestTinyWarmUpRateKeepsLimit guards against a rate whose interval overflows, which lifts the limit.
+func TestTinyWarmUpRateKeepsLimit(t *testing.T) {
+	const now = time.Hour
+	for _, rate := range []float64{1e-9, 1e-10, 1e-20, 5e-324} {
+		s := New(Config{Zone: "a", WarmUpOvershoot: 1.5, WarmUpSlack: 5})
+		limit := s.warmUpOf(&settings.Group{WarmUpRate: rate})
+		if !limit.limited || limit.interval < time.Second || now+limit.interval < now {
+			t.Errorf("rate %v: %+v", rate, limit)
+		}
+	}
+}
+
 // neighbourTableSize is how many neighbours each balancer of the test knows.
 const neighbourTableSize = 24
 
