edge: an answer that cannot be applied confirms nothing

What callers would see: a change takes effect late through a balancer that follows another one.

Cause: changes to settings that a balancer does not have are not applied, so that they are requested again, and counted as a confirmation of the known state all the same.

Change: an answer confirms the known state only if that is complete up to the answer's revision.

TestAnswerThatCannotBeAppliedConfirmsNothing, before the change: FAIL ("the state is reported as 2us old, and the store gave it 1s ago"); now ok. The emulator does the same.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -197,7 +197,7 @@
 	n.stateMutex.Lock()
 	first := n.directory.Revision() == 0
 	n.advanceConfirmedAt()
-	n.publish(n.directory.Replace(n.now(), listing), from, confirmedAt)
+	n.publish(n.directory.Replace(n.now(), listing), from, listing.Revision, confirmedAt)
 	n.stateMutex.Unlock()
 	if n.settingsKnown() {
 		n.handleQueued(true)
@@ -216,7 +216,7 @@
 	n.advanceConfirmedAt()
 	n.detectStoreReturn(confirmedAt, changes.FromPeer)
 	events := n.directory.Apply(n.now(), changes)
-	n.publish(events, from, confirmedAt)
+	n.publish(events, from, changes.Revision, confirmedAt)
 }
 
 // applyFromPeer applies changes that another balancer sent in answer to a request. Where possible the
@@ -242,7 +242,7 @@
 	n.advanceConfirmedAt()
 	n.detectStoreReturn(answer.ConfirmedAt, changes.FromPeer)
 	events := n.directory.Apply(n.now(), changes)
-	n.publish(events, from, answer.ConfirmedAt)
+	n.publish(events, from, changes.Revision, answer.ConfirmedAt)
 	step := changes.Step
 	return n.generation, forwardable && (step == nil || step.Revision == n.directory.SettingsRevision())
 }
@@ -253,9 +253,11 @@
 }
 
 // publish installs the known state in the steerer and wakes followers that wait for changes. The events are
-// of an answer that the store confirmed at a time. The state mutex must be held.
-func (n *Node) publish(events []directory.Event, from string, confirmedAt time.Duration) {
-	if n.confirmed.Update(confirmedAt) {
+// of an answer that is complete up to a revision and that the store confirmed at a time. The state mutex must
+// be held.
+func (n *Node) publish(events []directory.Event, from string, revision uint64, confirmedAt time.Duration) {
+	// An answer that could not be applied confirms nothing about the known state.
+	if n.directory.Revision() >= revision && n.confirmed.Update(confirmedAt) {
 		n.changed.wake()
 	}
 	if n.viewRevision.Swap(n.directory.Revision()) == n.directory.Revision() && len(events) == 0 {
--- a/internal/edge/staleness_test.go
+++ b/internal/edge/staleness_test.go
@@ -122,6 +122,18 @@
 	}
 }
 
+// TestAnswerThatCannotBeAppliedConfirmsNothing guards against a balancer that takes its state for fresh since it received
+// changes to settings that it does not have.
+func TestAnswerThatCannotBeAppliedConfirmsNothing(t *testing.T) {
+	node := newTestNode(t, &fakeSource{})
+	node.replace(listing(t, 5), "a peer", node.now()-time.Second)
+	node.apply(&directory.Changes{Revision: 7, Step: &directory.Step{Base: 6, Version: 9, Revision: 7}}, "a peer", node.now())
+	if node.revision() != 5 {
+		t.Fatalf("revision %d", node.revision())
+	}
+	checkStaleness(t, node, "after changes to other settings", time.Second)
+}
+
 // TestHelloReadLateIsNoConfirmation guards against a balancer that wakes from a pause, reads hellos that had waited, and
 // takes its state for fresh: nothing says when a hello was sent.
 func TestHelloReadLateIsNoConfirmation(t *testing.T) {
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -216,10 +216,12 @@
 	n.steerer.SetView(n.directory.View())
 }
 
-// updateView steers packets by the current state, which the store confirmed at a time, and answers the
-// peers that wait.
-func (n *node) updateView(confirmedAt time.Duration) {
-	n.confirmed.Update(confirmedAt)
+// updateView steers packets by the current state and answers the peers that wait. The state was updated by an
+// answer that is complete up to a revision and that the store confirmed at a time.
+func (n *node) updateView(revision uint64, confirmedAt time.Duration) {
+	if n.directory.Revision() >= revision {
+		n.confirmed.Update(confirmedAt)
+	}
 	if n.world.options.Without.Departed {
 		n.directory.Forget(n.now())
 	}
--- a/internal/emulator/node_follow.go
+++ b/internal/emulator/node_follow.go
@@ -106,7 +106,7 @@
 	}
 	n.directory.AdvanceConfirmedAt(n.now() - n.confirmed.Staleness(n.now()))
 	n.recordEvents(n.directory.Replace(n.now(), listing))
-	n.updateView(confirmedAt)
+	n.updateView(listing.Revision, confirmedAt)
 }
 
 func (n *node) applyChanges(changes *directory.Changes, confirmedAt time.Duration) {
@@ -116,5 +116,5 @@
 	n.directory.AdvanceConfirmedAt(n.now() - n.confirmed.Staleness(n.now()))
 	n.recordConfirmed(confirmedAt, changes.FromPeer)
 	n.recordEvents(n.directory.Apply(n.now(), changes))
-	n.updateView(confirmedAt)
+	n.updateView(changes.Revision, confirmedAt)
 }
