--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -38,7 +38,8 @@
 	defer n.stateMutex.Unlock()
 	now := n.now()
 	state := snapshot.Conditions{
-		Now: now, Staleness: n.staleness(), KnownFor: now - n.initializedAt, HasLowerRank: n.peers.HasLowerRank(now),
+		Now: now, Staleness: n.confirmed.Staleness(now), MaxStaleness: follow.MaxPeerStaleness(n.config().Bounds.Contact),
+		KnownFor: now - n.initializedAt, HasLowerRank: n.peers.HasLowerRank(now),
 		Eligible: n.directory.Revision() > 0 && n.followsStore.Load() && !n.leaving.Load() && !n.storeUnavailable.Load(),
 	}
 	if age, known := n.directory.SinceReturn(now); known {
--- a/internal/edge/snapshot_test.go
+++ b/internal/edge/snapshot_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gaugeyard/internal/directory"
+	"gaugeyard/internal/follow"
 	"gaugeyard/internal/settings"
 	"gaugeyard/internal/snapshot"
 )
@@ -124,6 +125,26 @@
 	}
 }
 
+// TestSnapshotIsWrittenBetweenWatches guards against a snapshot that is seldom written on platforms with a long contact bound,
+// where waits at the store are long and the state of a healthy balancer is several seconds old.
+func TestSnapshotIsWrittenBetweenWatches(t *testing.T) {
+	store := &fakeSnapshotStore{parts: map[int]snapshot.Stored{}}
+	node := snapshotWriter(t, store, eightBackends())
+	config := *node.config()
+	config.Bounds.Contact = 10 * time.Second
+	node.current.Store(&config)
+	for _, test := range []struct {
+		staleness time.Duration
+		due       bool
+	}{{5 * time.Second, false}, {3 * time.Second, true}} {
+		node.confirmed = follow.Confirmation{}
+		node.confirmed.Update(node.now() - test.staleness)
+		if _, due := node.nextSnapshot(); due != test.due {
+			t.Errorf("a state %v old: due %v", test.staleness, due)
+		}
+	}
+}
+
 // TestAWriteWithoutAResponseIsDetected checks that a write which succeeded without a response leads to a conflict at the
 // next one, and to no further write.
 func TestAWriteWithoutAResponseIsDetected(t *testing.T) {
--- a/internal/emulator/node_snapshot.go
+++ b/internal/emulator/node_snapshot.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"gaugeyard/internal/directory"
+	"gaugeyard/internal/follow"
 	"gaugeyard/internal/snapshot"
 )
 
@@ -62,7 +63,8 @@
 func (n *node) writeSnapshot() {
 	now := n.now()
 	state := snapshot.Conditions{
-		Now: now, Staleness: n.confirmed.Staleness(now), KnownFor: now - n.firstKnownAt, HasLowerRank: n.peers.HasLowerRank(now),
+		Now: now, Staleness: n.confirmed.Staleness(now), MaxStaleness: follow.MaxPeerStaleness(contactBound),
+		KnownFor: now - n.firstKnownAt, HasLowerRank: n.peers.HasLowerRank(now),
 		Eligible: n.directory.Revision() > 0 && n.followsStore && !n.leaving && !n.storeUnavailable,
 	}
 	if age, known := n.directory.SinceReturn(now); known {
--- a/internal/snapshot/writer.go
+++ b/internal/snapshot/writer.go
@@ -19,9 +19,6 @@
 	minWriteInterval = 5 * time.Second
 	// maxWriteInterval is the maximum time between two writes that fail in succession.
 	maxWriteInterval = 80 * time.Second
-	// maxStaleness is the maximum staleness of the view for a write. A staler view means that the
-	// store does not answer, and may be what an outage left of it.
-	maxStaleness = 2 * time.Second
 	// maxPartsPerWrite is the maximum number of parts in one call. It bounds a call to about
 	// 250 kB, for narrow links.
 	maxPartsPerWrite = 8
@@ -30,8 +27,9 @@
 // Conditions are the inputs to the decision whether this balancer writes.
 type Conditions struct {
 	Now time.Duration
-	// Staleness is the time since the store last confirmed this balancer's view.
-	Staleness time.Duration
+	// Staleness is the time since the store last confirmed this balancer's view. One above
+	// MaxStaleness means that the store does not answer, and the view may be what an outage left.
+	Staleness, MaxStaleness time.Duration
 	// KnownFor is the time since this balancer first had a view. SinceStoreReturn is the time since
 	// the store returned from an outage in which entries expired, 0 unless that was recent: missing
 	// entries may be back soon.
@@ -104,7 +102,7 @@
 // Due reports whether this balancer should write now.
 func (w *Writer) Due(conditions Conditions) bool {
 	settled := conditions.KnownFor >= minWriteInterval && (conditions.SinceStoreReturn == 0 || conditions.SinceStoreReturn >= minWriteInterval)
-	return w.changed && settled && conditions.Eligible && !conditions.HasLowerRank && conditions.Staleness <= maxStaleness && conditions.Now >= w.nextAt
+	return w.changed && settled && conditions.Eligible && !conditions.HasLowerRank && conditions.Staleness <= conditions.MaxStaleness && conditions.Now >= w.nextAt
 }
 
 // Next returns the parts that differ from the stored ones, as many as fit one call; there may be
