--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -8,7 +8,8 @@
 // between a request and its answer counts as age, also a pause of this process or of a peer.
 // A balancer whose own state is staler than MaxPeerStaleness requests it from the store,
 // however fresh its upstream claims to be. So a change is known everywhere within
-// MaxPeerStaleness and the timeouts of one call to a peer and one to the store.
+// MaxPeerStaleness, peerSlack, the time for which balancers of lower rank come first and a call to
+// the store.
 //
 // # Usage
 //
