platform: a report of a corrected value names its service

Cause: the line "entry corrected" gave the path of a scratch tree, the same for all services, so that operators could not tell whose value it was.

Change: it names the service or the limits, the setting, and both values. TestValuesBeyondOwnRangesKeepConfiguration asks for the name; without the change 7 of its cases fail.

--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -154,9 +154,9 @@
 	Given, Used string
 }
 
-// Error implements error.
+// Error implements error. It leaves out the path, which may be one of the caller's own making.
 func (a *Adjustment) Error() string {
-	return fmt.Sprintf("%s: %s=%q is out of range, %s is used; allowed: %s", a.Path, a.Key, a.Given, a.Used, fieldsByKey[a.Key].Allowed)
+	return fmt.Sprintf("%s=%q is out of range, %s is used; allowed: %s", a.Key, a.Given, a.Used, fieldsByKey[a.Key].Allowed)
 }
 
 // setCanonical sets a canonical value.
