follow: one unanswered watch does not send a fleet to the store

Cause: since answers are dated by their requests, a state is up to two waits old, and a watch that is not answered is noticed 0.5 s after its wait. With waits of 0.15 of the contact bound followers found the state too old, at bounds of 4 and 5 s, before the request that repeats the watch could be answered, and all of them would ask the store at once.

Change: the longest wait follows from that: half of what contact/2.5 leaves after the timeout and a repeated request, 0.475 s at a bound of 4 s (0.6 s before), 0.875 s at 6 s (0.9 s), 1.275 s at 8 s (1.2 s).

TestFollowersStayThroughOneUnansweredWatch, with waits of 0.15 of the bound: FAIL ("contact bound 4s, call 12: the state is 1.795s old", 5 s: 2.095 s); now ok at 4, 5, 6 and 8 s.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -54,12 +54,14 @@
 	// maxPause is how long a balancer that waits to poll the store pauses before it checks
 	// whether a peer has a newer revision.
 	maxPause = 200 * time.Millisecond
-	// storeWaitShare is the longest wait for changes from the store, as a fraction of the contact bound. The
-	// state may become twice as stale, since the answer is dated by its request, and must stay fresh enough to
-	// be followed.
-	storeWaitShare = 0.15
-	// minStoreWaitDivisor sets the shortest wait, as a fraction of the longest.
-	minStoreWaitDivisor = 4
+	// watchRepeatTime is how long it takes to repeat a request to the store that failed: minRetry and
+	// the response.
+	watchRepeatTime = 150 * time.Millisecond
+	// minLongestWatchDivisor bounds the longest wait for changes from the store from below, as a
+	// fraction of the contact bound, and minWatchDivisor sets the shortest one, as a fraction of the
+	// longest.
+	minLongestWatchDivisor = 16
+	minWatchDivisor        = 4
 	// peerStalenessDivisor sets the maximum staleness of another balancer's state, as a fraction of the
 	// contact bound. A call there ends before the own state is older, so that a balancer whose
 	// upstream is silent polls the store at most peerSlack after that, within the bounds
@@ -190,8 +192,15 @@
 // watchTime returns how long to wait for the store, so that the state becomes at most twice as stale as
 // the longest wait: a pause since the last response shortens it.
 func (f *Follower) watchTime(staleness time.Duration) time.Duration {
-	longest := time.Duration(storeWaitShare * float64(f.contactBound))
-	return min(max(2*longest-staleness, longest/minStoreWaitDivisor), longest)
+	longest := f.longestWatch()
+	return min(max(2*longest-staleness, longest/minWatchDivisor), longest)
+}
+
+// longestWatch returns the longest wait for the store. Since a response is dated by its request, the state is
+// up to two waits old. If the second one is not answered, the repeated request must be before followers find
+// the state too stale: otherwise all of them would poll the store at once.
+func (f *Follower) longestWatch() time.Duration {
+	return max((MaxPeerStaleness(f.contactBound)-changesSlack-watchRepeatTime)/2, f.contactBound/minLongestWatchDivisor)
 }
 
 // Done takes the outcome of a call, with the state after it, and returns how contact with the
