--- a/internal/follow/confirmation.go
+++ b/internal/follow/confirmation.go
@@ -25,8 +25,8 @@
 func FromStore(requestedAt time.Duration) time.Duration { return requestedAt }
 
 // FromWatch returns the confirmation time of an answer to a watch that was sent at requestedAt and
-// read at readAt. The store answers one without changes when its wait is over. An earlier one is
-// not as the store promises, and nothing is known of its time.
+// read at readAt. The store gives an answer without changes when the wait is over. One that is read
+// before that is dated like one with changes, which may have been given at any time.
 func FromWatch(requestedAt, readAt, wait time.Duration, changed bool) time.Duration {
 	if changed || readAt-requestedAt < wait {
 		return FromStore(requestedAt)
