directory: an entry that no service uses does not end the use of an expired back end

Cause: any back end at the address counted as the present one.

Change: one whose group no service of the settings in force uses does not count, neither live nor removed.

Measured: TestForeignEntryKeepsExpiredBackendUsable failed in its three orders on the code before, and passes; an entry of a group in use still ends the use.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -197,7 +197,7 @@
 		return events
 	}
 	d.changed[id] = true
-	d.clearExpiredAt(record.Backend.Address)
+	d.replaceExpired(&record.Backend)
 	delete(d.removed, id)
 	var previous Backend
 	started := serverStart{seenAt: now}
--- a/internal/directory/expiry.go
+++ b/internal/directory/expiry.go
@@ -130,19 +130,23 @@
 }
 
 // lastAnnouncedAt returns, for each address of the back ends that no live back end has, the removed back end
-// that announced it last. Those that announced it earlier have ended and may have been of another service.
+// that announced it last. Those that announced it earlier have ended and may have been of another service. Back
+// ends that no service uses do not count: their entries may be of other writers.
 func (d *Directory) lastAnnouncedAt(ids []settings.BackendID) map[netip.AddrPort]settings.BackendID {
 	last := make(map[netip.AddrPort]settings.BackendID, len(ids))
 	for _, id := range ids {
-		if removed, found := d.removed[id]; found {
+		if removed, found := d.removed[id]; found && d.isUsed(removed.Backend.Group) {
 			last[removed.Backend.Address] = id
 		}
 	}
 	for _, known := range d.live {
-		delete(last, known.member.Address)
+		if _, found := last[known.member.Address]; found && d.isUsed(known.member.Group) {
+			delete(last, known.member.Address)
+		}
 	}
 	for id, removed := range d.removed {
-		if current, found := last[removed.Backend.Address]; found && removed.announcedRevision > d.removed[current].announcedRevision {
+		current, found := last[removed.Backend.Address]
+		if found && removed.announcedRevision > d.removed[current].announcedRevision && d.isUsed(removed.Backend.Group) {
 			last[removed.Backend.Address] = id
 		}
 	}
@@ -168,7 +172,21 @@
 	d.markExpired(now, ids)
 }
 
-// clearExpiredAt ends the use of an expired back end whose address another back end announces.
+// isUsed reports whether a service of the settings in force uses the back ends that announce the group, or no
+// settings are known yet.
+func (d *Directory) isUsed(group string) bool {
+	return d.resolved == nil || d.resolved.Discovers(group)
+}
+
+// replaceExpired ends the use of an expired back end whose address another back end announces, unless no
+// service uses that one.
+func (d *Directory) replaceExpired(by *Backend) {
+	if _, expired := d.expired[by.Address]; expired && d.isUsed(by.Group) {
+		d.clearExpiredAt(by.Address)
+	}
+}
+
+// clearExpiredAt ends the use of the expired back end of an address, if there is one.
 func (d *Directory) clearExpiredAt(address netip.AddrPort) {
 	id, expired := d.expired[address]
 	if !expired {
--- a/internal/directory/expiry_test.go
+++ b/internal/directory/expiry_test.go
@@ -193,6 +193,53 @@
 	}
 }
 
+// fontsSettings are settings with one service, which uses the group of backend.
+func fontsSettings(t *testing.T) *Settings {
+	t.Helper()
+	tree := settings.Tree{"": settings.Values{}, "web/any": settings.Values{}}
+	for _, value := range []struct {
+		path settings.Path
+		key  settings.Key
+		text string
+	}{
+		{"web", settings.KeyAddress, "198.18.0.1:443"},
+		{"web/any/servers", settings.KeyDiscover, "fonts"},
+		{"web/any/servers", settings.KeyShare, "1"},
+	} {
+		if err := tree.Set(value.path, value.key, value.text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return &Settings{Version: 1, Revision: 5, Tree: tree}
+}
+
+// TestForeignEntryKeepsExpiredBackendUsable: an entry of a group that no service uses may be of another writer. At
+// the address of a back end that expired in an outage it does not end the use of that one.
+func TestForeignEntryKeepsExpiredBackendUsable(t *testing.T) {
+	for _, group := range []string{"audit", "fonts"} {
+		entry := func(revision uint64) *Changes {
+			other := record(9, revision)
+			other.Backend.Group, other.Backend.Address = group, backend(1, false).Address
+			return &Changes{Revision: revision, Records: []Record{other}}
+		}
+		for name, changes := range map[string][]*Changes{
+			"written before the removal": {entry(6), removals(7, 1)},
+			"written after the removal":  {removals(6, 1), entry(7)},
+			"removed together with it":   {entry(6), removals(7, 1, 9)},
+		} {
+			d := newConfirmedDirectory()
+			d.Apply(0, &Changes{Revision: 5, Settings: fontsSettings(t)})
+			d.DetectStoreReturn(outage, 0, outage)
+			for _, each := range changes {
+				d.Apply(outage, each)
+			}
+			if usable := group == "audit"; !d.HasSettings() || d.IsExpired(1) != usable {
+				t.Errorf("an entry of group %s, %s: back end 1 is usable: %v, want %v", group, name, d.IsExpired(1), usable)
+			}
+		}
+	}
+}
+
 // TestSnapshotDoesNotRestoreRemovedBackend: another balancer may have sent the removal before the snapshot is read.
 func TestSnapshotDoesNotRestoreRemovedBackend(t *testing.T) {
 	d := New(time.Minute)
--- a/internal/settings/snapshot.go
+++ b/internal/settings/snapshot.go
@@ -163,6 +163,13 @@
 	return false
 }
 
+// Discovers reports whether a service uses the servers that announce themselves under the name.
+func (s *Snapshot) Discovers(name string) bool {
+	return slices.ContainsFunc(s.Services, func(service *Service) bool {
+		return slices.ContainsFunc(service.Groups, func(group Group) bool { return group.Discover == name })
+	})
+}
+
 func newSnapshot(tree Tree, revision uint64, services int) *Snapshot {
 	return &Snapshot{
 		Revision:  revision,
