--- a/internal/standin/tagged/actions.go
+++ b/internal/standin/tagged/actions.go
@@ -116,25 +116,6 @@
 	})
 }
 
-// foreignEntries are invalid entries of another writer below the servers' prefix.
-var foreignEntries = map[string]any{
-	"servers/":                    "no identifier",
-	"servers/i-nothing":           entry{Service: feedService, Address: "127.0.0.1:9", Zone: "a", Version: "v1", Capacity: 2, State: stateReady},
-	"servers/i-00000000f0000001":  entry{Service: feedService, Zone: "a", Version: "v1", Capacity: 2, State: stateReady},
-	"servers/i-00000000f0000002":  entry{Service: feedService, Address: "127.0.0.1:9", Zone: "a", Version: "v1", Capacity: 2, State: "resting"},
-	"servers/i-00000000f0000003":  []int{1, 2, 3},
-	"servers/i-00000000f0000004":  map[string]any{"service": 7, "address": true},
-	"servers/i-ffffffffffffffff0": entry{Service: feedService, Address: "127.0.0.1:9", Zone: "a", Version: "v1", Capacity: 2, State: stateReady},
-}
-
-// WriteForeignEntries writes the foreign entries to the store.
-func (w *World) WriteForeignEntries() {
-	for key, value := range foreignEntries {
-		w.store.Put(key, value)
-	}
-	w.logf("another writer puts %d invalid entries under the servers' prefix", len(foreignEntries))
-}
-
 // unusedAddress returns an address that no server of the zone has used.
 func (w *World) unusedAddress(zone string) netip.AddrPort {
 	w.mutex.Lock()
