emulator: a client takes every reset of a balancer

The change for reused ports let a client ignore a balancer's reset with a position of another flow, in all scenarios. No scenario needs the exception.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -26,8 +26,6 @@
 	maxPauseFactor = 4
 	// maxTries is how many flows a request may use.
 	maxTries = 3
-	// resetWindow is how far a reset's position may be from the client's, in bytes.
-	resetWindow = 76_800
 )
 
 type requestKind uint8
@@ -339,14 +337,6 @@
 	c.fail(!c.open)
 }
 
-// resetAt handles a balancer's reset of an open flow. One with a position of another flow is ignored.
-func (c *clientFlow) resetAt(position uint32) {
-	distance := int32(position - c.serverSequence - c.received)
-	if !c.open || distance >= -resetWindow && distance <= resetWindow {
-		c.reset(nil)
-	}
-}
-
 // fail ends the flow and retries its request if that may run again or the flow never opened.
 func (c *clientFlow) fail(beforeOpen bool) {
 	c.closed, c.opening = true, false
--- a/internal/emulator/node_peers.go
+++ b/internal/emulator/node_peers.go
@@ -153,7 +153,7 @@
 func (n *node) actOnObservations() {
 	for _, reset := range n.steerer.TakeResets() {
 		if c := n.world.clients[reset.Flow]; c != nil {
-			n.world.send(n.zone, "", func() { c.resetAt(reset.Acknowledged) })
+			n.world.send(n.zone, "", func() { c.reset(nil) })
 		}
 	}
 	if n.steerer.TakeUrgentReport() {
