directory, steering: a back end at a removed one's address is its replacement

Cause: the glossary has successor for the balancer that holds the copy of a flow, and the change for foreign entries used it for another thing.

Change: names alone.

Measured: the tests of both packages pass.

--- a/internal/directory/replaced.go
+++ b/internal/directory/replaced.go
@@ -6,10 +6,10 @@
 	"gaugeyard/internal/settings"
 )
 
-// Successors returns, for each of the back ends whose entry is removed, those whose entries name its address and
+// Replacements returns, for each of the back ends whose entry is removed, those whose entries name its address and
 // were written later than it last wrote its own. One of them has replaced it if it answers there: an address has
 // only one server at a time. The entry alone does not prove that, since other writers may have written it.
-func (v *View) Successors(ids []settings.BackendID) map[settings.BackendID][]settings.BackendID {
+func (v *View) Replacements(ids []settings.BackendID) map[settings.BackendID][]settings.BackendID {
 	removedAt := map[netip.AddrPort][]*Member{}
 	for _, id := range ids {
 		if member := v.Member(id); member != nil && member.Removed {
@@ -19,7 +19,7 @@
 	if len(removedAt) == 0 {
 		return nil
 	}
-	successors := map[settings.BackendID][]settings.BackendID{}
+	replacements := map[settings.BackendID][]settings.BackendID{}
 	for _, part := range v.tags {
 		for _, members := range part {
 			for _, member := range members {
@@ -28,11 +28,11 @@
 				}
 				for _, removed := range removedAt[member.Address] {
 					if member.AnnouncedRevision > removed.AnnouncedRevision {
-						successors[removed.ID] = append(successors[removed.ID], member.ID)
+						replacements[removed.ID] = append(replacements[removed.ID], member.ID)
 					}
 				}
 			}
 		}
 	}
-	return successors
+	return replacements
 }
--- a/internal/directory/replaced_test.go
+++ b/internal/directory/replaced_test.go
@@ -9,7 +9,7 @@
 	"gaugeyard/internal/settings"
 )
 
-// TestReplacedByStartAtSameAddress: a later entry at the address of a removed back end may be its successor's.
+// TestReplacedByStartAtSameAddress: a later entry at the address of a removed back end may be its replacement's.
 func TestReplacedByStartAtSameAddress(t *testing.T) {
 	const before, after = 1, 2
 	entry := func(id settings.BackendID, revision uint64, group string, host byte) *Changes {
@@ -37,15 +37,15 @@
 		for _, changes := range test.changes {
 			d.Apply(0, changes)
 		}
-		successors := d.View().Successors([]settings.BackendID{before, 77})
-		if got := slices.Equal(successors[before], []settings.BackendID{after}); got != test.want || !got && len(successors) > 0 || got && len(successors) > 1 {
-			t.Errorf("%s: successors %v", name, successors)
+		replacements := d.View().Replacements([]settings.BackendID{before, 77})
+		if got := slices.Equal(replacements[before], []settings.BackendID{after}); got != test.want || !got && len(replacements) > 0 || got && len(replacements) > 1 {
+			t.Errorf("%s: replacements %v", name, replacements)
 		}
 	}
 }
 
 // TestNotReplacedByEarlierEntry: of a back end that was received as removed, only the removal's revision is known,
-// and an entry with an earlier one is not its successor's.
+// and an entry with an earlier one is not its replacement's.
 func TestNotReplacedByEarlierEntry(t *testing.T) {
 	address := netip.MustParseAddrPort("10.0.0.1:80")
 	for _, test := range []struct {
@@ -58,8 +58,8 @@
 			Records:  []Record{{Backend{ID: 2, Group: "b", Address: address}, test.revision}},
 			Removed:  []Record{{Backend{ID: 1, Group: "a", Address: address}, 5}},
 		})
-		if successors := d.View().Successors([]settings.BackendID{1}); len(successors) != test.want {
-			t.Errorf("removed at revision 5, another entry of %d: successors %v", test.revision, successors)
+		if replacements := d.View().Replacements([]settings.BackendID{1}); len(replacements) != test.want {
+			t.Errorf("removed at revision 5, another entry of %d: replacements %v", test.revision, replacements)
 		}
 	}
 }
--- a/internal/steering/backend.go
+++ b/internal/steering/backend.go
@@ -99,10 +99,10 @@
 	lastUnansweredAt  time.Duration
 	reports           []receivedReport
 	downUntil         time.Duration
-	// successors are back ends whose entries name the address of this removed one. ended is set once one
+	// replacements are back ends whose entries name the address of this removed one. ended is set once one
 	// of them answers. Until idleResetUntil, the idle flows have already been reset for the current down
 	// period.
-	successors     []settings.BackendID
+	replacements   []settings.BackendID
 	ended          bool
 	idleResetUntil time.Duration
 	// silentUntil is the end of the current silent period, and silentPeriod its length.
--- a/internal/steering/ended.go
+++ b/internal/steering/ended.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// findSuccessors looks in a new view for entries of other back ends at the addresses of removed ones.
-func (s *Steerer) findSuccessors() {
+// findReplacements looks in a new view for entries of other back ends at the addresses of removed ones.
+func (s *Steerer) findReplacements() {
 	var removed []settings.BackendID
 	for id, b := range s.removed {
 		switch {
@@ -71,9 +71,9 @@
 	if len(removed) == 0 {
 		return
 	}
-	successors := s.view.Successors(removed)
+	replacements := s.view.Replacements(removed)
 	for _, id := range removed {
-		s.backends[id].successors = successors[id]
+		s.backends[id].replacements = replacements[id]
 	}
 }
 
@@ -82,7 +82,7 @@
 func (s *Steerer) resetReplaced() {
 	var replaced []settings.BackendID
 	for id, b := range s.removed {
-		if !b.ended && b.flows > 0 && slices.ContainsFunc(b.successors, s.hasAnswered) {
+		if !b.ended && b.flows > 0 && slices.ContainsFunc(b.replacements, s.hasAnswered) {
 			replaced = append(replaced, id)
 		}
 	}
--- a/internal/steering/steerer.go
+++ b/internal/steering/steerer.go
@@ -140,7 +140,7 @@
 	for _, id := range changed {
 		s.updateRemoved(id, view.Member(id))
 	}
-	s.findSuccessors()
+	s.findReplacements()
 	s.resetReplaced()
 }
 
@@ -156,7 +156,7 @@
 		s.removed[id] = b
 		return
 	}
-	b.ended, b.successors = false, nil
+	b.ended, b.replacements = false, nil
 }
 
 // TakeEvents returns the observations since the last call, or nil.
