directory: a back end that no service uses is retained after an outage as before

Cause: leaving out entries that no service uses, when another one at the address is in use, left them out where there is no other one too.

Change: an entry that no service uses only does not outrank one in use.

--- a/internal/directory/expiry.go
+++ b/internal/directory/expiry.go
@@ -130,29 +130,43 @@
 }
 
 // lastAnnouncedAt returns, for each address of the back ends that no live back end has, the removed back end
-// that announced it last. Those that announced it earlier have ended and may have been of another service. Back
-// ends that no service uses do not count: their entries may be of other writers.
+// that announced it last. Those that announced it earlier have ended and may have been of another service.
 func (d *Directory) lastAnnouncedAt(ids []settings.BackendID) map[netip.AddrPort]settings.BackendID {
 	last := make(map[netip.AddrPort]settings.BackendID, len(ids))
 	for _, id := range ids {
-		if removed, found := d.removed[id]; found && d.isUsed(removed.Backend.Group) {
+		if removed, found := d.removed[id]; found {
 			last[removed.Backend.Address] = id
 		}
 	}
-	for _, known := range d.live {
-		if _, found := last[known.member.Address]; found && d.isUsed(known.member.Group) {
-			delete(last, known.member.Address)
-		}
-	}
 	for id, removed := range d.removed {
-		current, found := last[removed.Backend.Address]
-		if found && removed.announcedRevision > d.removed[current].announcedRevision && d.isUsed(removed.Backend.Group) {
+		if current, found := last[removed.Backend.Address]; found && d.announcedAfter(&removed, d.removed[current]) {
 			last[removed.Backend.Address] = id
 		}
 	}
+	for _, known := range d.live {
+		address := known.member.Address
+		if id, found := last[address]; found && d.mayReplace(known.member.Group, d.removed[id].Backend.Group) {
+			delete(last, address)
+		}
+	}
 	return last
 }
 
+// announcedAfter reports whether a removed back end announced its address after another one, as far as the
+// entries of the two may tell.
+func (d *Directory) announcedAfter(removed *removedBackend, other removedBackend) bool {
+	if !d.mayReplace(removed.Backend.Group, other.Backend.Group) {
+		return false
+	}
+	return !d.mayReplace(other.Backend.Group, removed.Backend.Group) || removed.announcedRevision > other.announcedRevision
+}
+
+// mayReplace reports whether an entry of one group may show that a back end of another one has ended. An entry
+// that no service of the settings in force uses may be of another writer, and does not show it of one in use.
+func (d *Directory) mayReplace(group, other string) bool {
+	return d.resolved == nil || d.resolved.Discovers(group) || !d.resolved.Discovers(other)
+}
+
 // addMissing adds back ends that this balancer has never known and marks them as expired. Only a balancer that
 // has just started gets them, so the store counts as just returned.
 func (d *Directory) addMissing(now time.Duration, missing []Record) {
@@ -172,16 +186,9 @@
 	d.markExpired(now, ids)
 }
 
-// isUsed reports whether a service of the settings in force uses the back ends that announce the group, or no
-// settings are known yet.
-func (d *Directory) isUsed(group string) bool {
-	return d.resolved == nil || d.resolved.Discovers(group)
-}
-
-// replaceExpired ends the use of an expired back end whose address another back end announces, unless no
-// service uses that one.
+// replaceExpired ends the use of an expired back end whose address another back end announces.
 func (d *Directory) replaceExpired(by *Backend) {
-	if _, expired := d.expired[by.Address]; expired && d.isUsed(by.Group) {
+	if id, expired := d.expired[by.Address]; expired && d.mayReplace(by.Group, d.removed[id].Backend.Group) {
 		d.clearExpiredAt(by.Address)
 	}
 }
